--- /dev/null
+++ b/src/caller_api.rs
@@ -0,0 +1,227 @@
+//! The contract with callers: HTTP/1.1 with JSON bodies.
+//!
+//! | call | body | answer |
+//! |---|---|---|
+//! | `GET /v1/addresses?region=R&failure_domain=D` | none | 200 [`AddressesReply`] |
+//! | `POST /v1/search` | [`SearchCall`] | 200 [`SearchAnswer`], or an [`ErrorReply`] |
+//! | `POST /v1/run` | [`RunCall`] | 200 [`RunAnswer`], or an [`ErrorReply`], which means that it did not run |
+//!
+//! Requests may carry the W3C `traceparent` header.
+
+use crate::ids;
+use crate::rank;
+use crate::searcher_api;
+use crate::snapshot;
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use std::net;
+
+/// The largest request body, in bytes.
+pub const BODY_MAX_BYTES: usize = 64 * 1024;
+
+/// One instance that callers may use.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Address {
+    /// The instance.
+    pub instance: ids::InstanceName,
+    /// Its address for callers.
+    pub address: net::SocketAddr,
+    /// Its region.
+    pub region: ids::RegionName,
+    /// Its failure domain.
+    pub failure_domain: ids::DomainName,
+    /// Its boot, which idempotency keys name.
+    pub boot: ids::BootId,
+}
+
+/// The addresses to use, in the order of preference.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AddressesReply {
+    /// How long the answer may be used.
+    pub ttl_ms: u32,
+    /// The addresses, the nearest failure domain first.
+    pub addresses: Vec<Address>,
+}
+
+/// A search.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SearchCall {
+    /// The service to search.
+    pub service: ids::ServiceName,
+    /// The query's text.
+    pub query: CompactString,
+    /// How many hits are wanted.
+    pub limit: u16,
+    /// The urgency.
+    pub rank: rank::Rank,
+    /// How long the answer is of use, counted from the receipt of the request.
+    pub deadline_ms: u32,
+}
+
+/// How much of the snapshot an answer is drawn from.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Coverage {
+    /// Shards that answered.
+    pub shards_answered: u32,
+    /// Shards of the snapshot.
+    pub shards_total: u32,
+    /// Shards that did not answer, sorted.
+    pub missing: Vec<ids::ShardId>,
+}
+
+/// What an answer has cost.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Effort {
+    /// Shard calls that the query needed at least.
+    pub calls_needed: u32,
+    /// Shard calls that were sent.
+    pub calls_sent: u32,
+    /// Of these, hedges.
+    pub hedges: u32,
+    /// Of these, retries.
+    pub retries: u32,
+    /// How often the query was started again on another snapshot.
+    pub restarts: u32,
+}
+
+/// The answer to a search.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SearchAnswer {
+    /// The query's id, as in logs and traces.
+    pub query_id: ids::QueryId,
+    /// The one snapshot that the answer is drawn from.
+    pub snapshot: snapshot::Snapshot,
+    /// How much of it.
+    pub coverage: Coverage,
+    /// The best hits over all shards, best first; ties are ordered by document.
+    pub hits: Vec<searcher_api::Hit>,
+    /// What it has cost.
+    pub effort: Effort,
+}
+
+/// A non-idempotent request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RunCall {
+    /// The idempotency key: `<instance>:<boot>:<nonce>`, with an instance and its boot from an
+    /// address answer and a nonce of the caller's own. A retry repeats the key, at any instance.
+    pub key: CompactString,
+    /// The service.
+    pub service: ids::ServiceName,
+    /// The operation.
+    pub operation: ids::OperationName,
+    /// What it is applied to.
+    pub subject: CompactString,
+    /// The urgency.
+    pub rank: rank::Rank,
+    /// How long the caller waits.
+    pub deadline_ms: u32,
+}
+
+/// Whether a non-idempotent request ran.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display, strum::EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Outcome {
+    /// It ran, once.
+    Ran,
+    /// It did not run and, under this key, never will.
+    NotRun,
+    /// It may have run, once at most. Ask again with the same key.
+    Unknown,
+}
+
+/// The answer to a non-idempotent request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunAnswer {
+    /// The key.
+    pub key: CompactString,
+    /// Whether it ran.
+    pub outcome: Outcome,
+    /// The result, if it ran.
+    pub result: Option<CompactString>,
+    /// Why, if it did not run or is not known to have run.
+    pub cause: Option<ErrorCode>,
+}
+
+/// Why a request was not served. Nothing was run.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+    strum::EnumIter,
+    strum::IntoStaticStr,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum ErrorCode {
+    /// The body is not what the contract says.
+    BadRequest,
+    /// The body is larger than [`BODY_MAX_BYTES`].
+    TooLarge,
+    /// The service is not in the settings in force.
+    UnknownService,
+    /// The operation is not declared for the service.
+    UnknownOperation,
+    /// The idempotency key is malformed, or too old.
+    BadKey,
+    /// The deadline is past, or can't be met.
+    DeadlinePast,
+    /// The rank's share is used up; more urgent work goes first.
+    Overloaded,
+    /// No snapshot of the service is complete.
+    NoSnapshot,
+    /// No searcher that could serve the request is reachable.
+    NoSearcher,
+    /// The instance that has to answer is gone or can't be reached.
+    HomeUnreachable,
+    /// The instance is starting or doubts its settings; use another address.
+    NotReady,
+    /// The instance is stopping; use another address.
+    Stopping,
+    /// The operators' token is missing or wrong.
+    Unauthorized,
+    /// Something that should not happen; the logs tell more.
+    Internal,
+}
+
+impl ErrorCode {
+    /// The HTTP status that goes with the error.
+    pub fn http_status(self) -> u16 {
+        match self {
+            ErrorCode::BadRequest | ErrorCode::BadKey => 400,
+            ErrorCode::Unauthorized => 401,
+            ErrorCode::UnknownService | ErrorCode::UnknownOperation => 404,
+            ErrorCode::TooLarge => 413,
+            ErrorCode::Overloaded => 429,
+            ErrorCode::Internal => 500,
+            ErrorCode::NoSnapshot
+            | ErrorCode::NoSearcher
+            | ErrorCode::HomeUnreachable
+            | ErrorCode::NotReady
+            | ErrorCode::Stopping => 503,
+            ErrorCode::DeadlinePast => 504,
+        }
+    }
+}
+
+/// The answer to a request that was not served. Nothing was run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorReply {
+    /// Why.
+    pub code: ErrorCode,
+    /// The same for a person to read.
+    pub message: CompactString,
+}
--- /dev/null
+++ b/src/operator_api.rs
@@ -0,0 +1,139 @@
+//! The contract with operators: HTTP/1.1 with JSON bodies and `authorization: Bearer TOKEN`.
+//!
+//! | call | body | answer |
+//! |---|---|---|
+//! | `POST /v1/operator/plans` | [`DeclareCall`] | 200 [`Plan`], 422 [`FindingsReply`] |
+//! | `POST /v1/operator/confirm` | [`ConfirmCall`] | 200 [`ConfirmReply`] |
+//! | `GET /v1/operator/status` | none | 200 [`StatusReply`] |
+//!
+//! Errors are [`crate::caller_api::ErrorReply`].
+
+use crate::ids;
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use std::net;
+
+/// Declares settings; nothing changes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DeclareCall {
+    /// The settings document, as written: JSON with comments.
+    pub document: String,
+}
+
+/// How grave a finding is.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display, strum::EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Severity {
+    /// The document can't be used.
+    Error,
+    /// The document can be used; the operator should look.
+    Warning,
+}
+
+/// Something found in a settings document.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finding {
+    /// How grave it is.
+    pub severity: Severity,
+    /// The line, counted from 1.
+    pub line: u32,
+    /// The column in characters, counted from 1.
+    pub column: u32,
+    /// What was found.
+    pub message: CompactString,
+}
+
+/// All findings of a document that can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FindingsReply {
+    /// The findings, in the order of the document.
+    pub findings: Vec<Finding>,
+}
+
+/// A plan: what a confirmation would change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Plan {
+    /// The plan's id: `<base revision>-<content hash>`. Any instance can confirm it.
+    pub plan: CompactString,
+    /// The revision that the plan was made from.
+    pub base_revision: ids::Revision,
+    /// What changes, one line each, in the order of the document.
+    pub changes: Vec<CompactString>,
+    /// The limits and shares that result, one line each.
+    pub results: Vec<CompactString>,
+    /// What the operator should look at.
+    pub warnings: Vec<Finding>,
+}
+
+/// Confirms a plan.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConfirmCall {
+    /// The plan's id.
+    pub plan: CompactString,
+    /// How long to wait for the acceptance.
+    pub wait_ms: u32,
+}
+
+/// How far a confirmed plan has come.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "state")]
+pub enum ConfirmReply {
+    /// In force on every instance, for good.
+    Accepted {
+        /// The revision.
+        revision: ids::Revision,
+    },
+    /// Committed, but not known to be in force everywhere. Ask again with the same plan.
+    Pending {
+        /// The revision.
+        revision: ids::Revision,
+        /// The instances that are waited for, sorted.
+        waiting_for: Vec<ids::InstanceName>,
+    },
+    /// Nothing changed: the settings in force are no longer those that the plan was made from.
+    Conflict {
+        /// The revision in force.
+        in_force: ids::Revision,
+    },
+    /// The platform did not answer; the plan may have been committed. Ask again with the same plan.
+    Unsettled,
+    /// Nothing changed: the plan is not known.
+    UnknownPlan,
+}
+
+/// One instance, as the answering instance knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceStatus {
+    /// The instance.
+    pub instance: ids::InstanceName,
+    /// Its boot.
+    pub boot: ids::BootId,
+    /// Its region.
+    pub region: ids::RegionName,
+    /// Its failure domain.
+    pub failure_domain: ids::DomainName,
+    /// Its address for callers.
+    pub address: net::SocketAddr,
+    /// The member's state, such as `alive`.
+    pub state: CompactString,
+    /// The revision that it last said to have in force.
+    pub revision: ids::Revision,
+    /// Whether it is behind the newest revision known.
+    pub behind: bool,
+}
+
+/// All instances and the newest revision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatusReply {
+    /// The instance that answers.
+    pub answered_by: ids::InstanceName,
+    /// The newest revision that it knows to be committed.
+    pub newest: ids::Revision,
+    /// The instances, sorted by name.
+    pub instances: Vec<InstanceStatus>,
+}
