Connections with a hard cap, and the platform's client

Cause: volo-http's client pool limits idle connections only and does not tell whether a failed request had left; both matter for searchers' connection limits and for "not run". hyper's try_send_request gives the unsent request back, so the two cases are told apart. No measurement yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,9 +3,11 @@
 //! The library holds everything; the daemon and the command-line client are thin shells.
 
 pub mod caller_api;
+pub mod connection;
 pub mod events;
 pub mod ids;
 pub mod operator_api;
+pub mod platform;
 pub mod platform_api;
 pub mod rank;
 pub mod searcher_api;
