--- /dev/null
+++ b/src/attempts.rs
@@ -0,0 +1,112 @@
+//! The attempts that this instance waits for, whichever link their outcomes come over.
+
+use crate::ids;
+use crate::peer_api;
+use std::sync;
+
+/// Where the outcomes of one query's attempts go.
+pub type ReplySender = tokio::sync::mpsc::Sender<peer_api::ShardReply>;
+
+#[derive(Debug)]
+struct Waiting {
+    attempt: ids::AttemptId,
+    searcher: ids::SearcherName,
+    owner: ids::InstanceName,
+    sender: ReplySender,
+}
+
+/// The open attempts, sorted by id.
+#[derive(Debug, Default)]
+pub struct Attempts {
+    waiting: sync::Mutex<Vec<Waiting>>,
+}
+
+impl Attempts {
+    /// Waits for the outcome of `call` at `owner`.
+    pub fn open(
+        &self,
+        call: &peer_api::ShardCall,
+        owner: &ids::InstanceName,
+        sender: &ReplySender,
+    ) {
+        let entry = Waiting {
+            attempt: call.attempt,
+            searcher: call.searcher.clone(),
+            owner: owner.clone(),
+            sender: sender.clone(),
+        };
+        let mut waiting = self.lock();
+        let index = waiting.partition_point(|w| w.attempt < call.attempt);
+        waiting.insert(index, entry);
+    }
+
+    /// Gives an outcome to the query that waits for it. False if none does.
+    pub fn resolve(&self, reply: peer_api::ShardReply) -> bool {
+        let found = self.take(reply.attempt);
+        match found {
+            Some(waiting) => waiting.sender.try_send(reply).is_ok(),
+            None => false,
+        }
+    }
+
+    /// Stops waiting for an attempt.
+    pub fn close(&self, attempt: ids::AttemptId) {
+        self.take(attempt);
+    }
+
+    /// Fails all attempts at `owner`, whose link broke.
+    pub fn fail_owner(&self, owner: &ids::InstanceName) {
+        let mut failed = Vec::new();
+        {
+            let mut waiting = self.lock();
+            let mut index = 0;
+            while let Some(entry) = waiting.get(index) {
+                if entry.owner != *owner {
+                    index += 1;
+                    continue;
+                }
+                failed.push(waiting.remove(index));
+            }
+        }
+        for entry in failed {
+            let reply = failed_reply(entry.attempt, entry.searcher, peer_api::Failure::Lost);
+            if entry.sender.try_send(reply).is_err() {
+                tracing::debug!(attempt = %entry.attempt, "query ended before its attempt failed");
+            }
+        }
+    }
+
+    /// How many attempts are open.
+    pub fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Whether none is open.
+    pub fn is_empty(&self) -> bool {
+        self.lock().is_empty()
+    }
+
+    fn take(&self, attempt: ids::AttemptId) -> Option<Waiting> {
+        let mut waiting = self.lock();
+        let index = waiting.binary_search_by(|w| w.attempt.cmp(&attempt)).ok()?;
+        Some(waiting.remove(index))
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, Vec<Waiting>> {
+        self.waiting.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+/// The outcome of an attempt that failed without an owner's word on its load.
+pub fn failed_reply(
+    attempt: ids::AttemptId,
+    searcher: ids::SearcherName,
+    failure: peer_api::Failure,
+) -> peer_api::ShardReply {
+    peer_api::ShardReply {
+        attempt,
+        searcher,
+        outcome: peer_api::ShardOutcome::Failed(failure),
+        load: None,
+    }
+}
--- /dev/null
+++ b/src/frame.rs
@@ -0,0 +1,153 @@
+//! Authenticated frames on a TCP stream between instances.
+//!
+//! Layout: length of the rest (u32, big endian), code (16 bytes), `postcard` body. The code is a keyed
+//! hash over the direction, the frame's position in the stream and the body. The key is drawn from the
+//! cluster key and both sides' nonces, so frames can't be forged, replayed or reordered.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+
+/// The largest frame's body, in bytes.
+pub const FRAME_MAX_BYTES: usize = 8 << 20;
+
+const CODE_BYTES: usize = 16;
+const LENGTH_BYTES: usize = 4;
+
+/// Why a frame could not be read or written.
+#[derive(Debug, thiserror::Error)]
+pub enum FrameError {
+    /// The stream broke.
+    #[error("stream: {0}")]
+    Stream(#[from] std::io::Error),
+    /// The length is out of bounds.
+    #[error("frame of {0} bytes")]
+    Length(usize),
+    /// The code does not fit: another key, or not the expected frame.
+    #[error("frame not authentic")]
+    NotAuthentic,
+    /// The body is not what the contract says.
+    #[error("frame malformed: {0}")]
+    Malformed(#[from] postcard::Error),
+}
+
+/// Which side of a link a frame comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// The side that opened the link.
+    Dialer,
+    /// The other side.
+    Acceptor,
+}
+
+/// The key of one direction of a link, and the position in its stream.
+#[derive(Clone)]
+pub struct Codec {
+    key: [u8; 32],
+    side: Side,
+    position: u64,
+}
+
+impl Codec {
+    /// For frames from `side` under `key`.
+    pub fn new(key: [u8; 32], side: Side) -> Self {
+        Self { key, side, position: 0 }
+    }
+
+    /// Writes `value` as the next frame of the stream to the end of `buffer`.
+    ///
+    /// # Errors
+    ///
+    /// When the value can't be encoded or is too large; the buffer is as before.
+    pub fn encode(
+        &mut self,
+        value: &impl Serialize,
+        buffer: &mut Vec<u8>,
+    ) -> Result<(), FrameError> {
+        let body = postcard::to_stdvec(value)?;
+        if body.len() > FRAME_MAX_BYTES {
+            return Err(FrameError::Length(body.len()));
+        }
+        let code = self.next_code(&body);
+        let length = (CODE_BYTES + body.len()) as u32;
+        buffer.extend_from_slice(&length.to_be_bytes());
+        buffer.extend_from_slice(&code);
+        buffer.extend_from_slice(&body);
+        Ok(())
+    }
+
+    /// Decodes `rest`, what follows a frame's length, as the next frame of the stream.
+    ///
+    /// # Errors
+    ///
+    /// When the frame is not authentic or malformed; the stream can't be used any more.
+    pub fn decode<T: DeserializeOwned>(&mut self, rest: &[u8]) -> Result<T, FrameError> {
+        let Some((code, body)) = rest.split_at_checked(CODE_BYTES) else {
+            return Err(FrameError::Length(rest.len()));
+        };
+        let expected = self.next_code(body);
+        if !same(code, &expected) {
+            return Err(FrameError::NotAuthentic);
+        }
+        Ok(postcard::from_bytes(body)?)
+    }
+
+    fn next_code(&mut self, body: &[u8]) -> [u8; CODE_BYTES] {
+        let mut hasher = blake3::Hasher::new_keyed(&self.key);
+        let side = match self.side {
+            Side::Dialer => 0_u8,
+            Side::Acceptor => 1_u8,
+        };
+        hasher.update(&[side]);
+        hasher.update(&self.position.to_be_bytes());
+        hasher.update(body);
+        self.position += 1;
+        let mut code = [0; CODE_BYTES];
+        hasher.finalize_xof().fill(&mut code);
+        code
+    }
+}
+
+fn same(left: &[u8], right: &[u8]) -> bool {
+    if left.len() != right.len() {
+        return false;
+    }
+    let mut difference = 0;
+    for (l, r) in left.iter().zip(right) {
+        difference |= l ^ r;
+    }
+    difference == 0
+}
+
+/// Reads one frame's bytes, without its length.
+///
+/// # Errors
+///
+/// When the stream breaks or the length is out of bounds.
+pub async fn read(
+    stream: &mut (impl tokio::io::AsyncRead + Unpin),
+    max_bytes: usize,
+) -> Result<Vec<u8>, FrameError> {
+    let mut length = [0; LENGTH_BYTES];
+    stream.read_exact(&mut length).await?;
+    let length = u32::from_be_bytes(length) as usize;
+    if !(CODE_BYTES..=CODE_BYTES + max_bytes).contains(&length) {
+        return Err(FrameError::Length(length));
+    }
+    let mut rest = vec![0; length];
+    stream.read_exact(&mut rest).await?;
+    Ok(rest)
+}
+
+/// Writes encoded frames.
+///
+/// # Errors
+///
+/// When the stream breaks.
+pub async fn write(
+    stream: &mut (impl tokio::io::AsyncWrite + Unpin),
+    buffer: &[u8],
+) -> Result<(), FrameError> {
+    stream.write_all(buffer).await?;
+    Ok(())
+}
--- /dev/null
+++ b/src/holdings.rs
@@ -0,0 +1,117 @@
+//! What is known of the searchers, and the snapshot that a query is answered from.
+
+use crate::ids;
+use crate::peer_api;
+use crate::snapshot;
+
+/// The newest report on each searcher, sorted by searcher.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Holdings {
+    reports: Vec<peer_api::SearcherReport>,
+}
+
+/// The searchers that hold one snapshot of a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Replicas {
+    /// The snapshot.
+    pub snapshot: snapshot::Snapshot,
+    /// For each shard, counted from 0, the searchers that hold it, sorted.
+    pub shards: Vec<Vec<ids::SearcherName>>,
+}
+
+impl Holdings {
+    /// Takes in a report unless a newer one is known. Returns whether it was taken in.
+    pub fn merge(&mut self, report: peer_api::SearcherReport) -> bool {
+        match self.position(&report.searcher) {
+            Err(index) => {
+                self.reports.insert(index, report);
+                true
+            }
+            Ok(index) => match self.reports.get_mut(index) {
+                Some(known) if known.observation < report.observation => {
+                    *known = report;
+                    true
+                }
+                _ => false,
+            },
+        }
+    }
+
+    /// The newest report on `searcher`.
+    pub fn find(&self, searcher: &ids::SearcherName) -> Option<&peer_api::SearcherReport> {
+        let index = self.position(searcher).ok()?;
+        self.reports.get(index)
+    }
+
+    /// All reports, sorted by searcher.
+    pub fn all(&self) -> &[peer_api::SearcherReport] {
+        &self.reports
+    }
+
+    /// Forgets searchers for which `keep` is false.
+    pub fn retain(&mut self, keep: impl FnMut(&peer_api::SearcherReport) -> bool) {
+        self.reports.retain(keep);
+    }
+
+    /// The newest snapshot of `service`, above `after` if given, of which every shard is held by a
+    /// ready searcher.
+    pub fn newest_complete(
+        &self,
+        service: &ids::ServiceName,
+        after: Option<snapshot::Snapshot>,
+    ) -> Option<Replicas> {
+        let mut candidates: Vec<(snapshot::Snapshot, u32)> = Vec::new();
+        for (_, holding) in self.ready_holdings(service) {
+            if after.is_some_and(|after| holding.snapshot <= after) {
+                continue;
+            }
+            candidates.push((holding.snapshot, holding.shard_count));
+        }
+        candidates.sort_unstable();
+        candidates.dedup();
+        for (snapshot, shard_count) in candidates.into_iter().rev() {
+            let replicas = self.replicas(service, snapshot, shard_count);
+            if replicas.shards.iter().all(|searchers| !searchers.is_empty()) {
+                return Some(replicas);
+            }
+        }
+        None
+    }
+
+    fn replicas(
+        &self,
+        service: &ids::ServiceName,
+        snapshot: snapshot::Snapshot,
+        shard_count: u32,
+    ) -> Replicas {
+        let mut shards = vec![Vec::new(); shard_count as usize];
+        for (searcher, holding) in self.ready_holdings(service) {
+            if holding.snapshot != snapshot || holding.shard_count != shard_count {
+                continue;
+            }
+            for shard in &holding.shards {
+                let Some(searchers) = shards.get_mut(shard.0 as usize) else {
+                    continue;
+                };
+                searchers.push(searcher.clone());
+            }
+        }
+        Replicas { snapshot, shards }
+    }
+
+    fn ready_holdings(
+        &self,
+        service: &ids::ServiceName,
+    ) -> impl Iterator<Item = (&ids::SearcherName, &snapshot::Holding)> {
+        self.reports
+            .iter()
+            .filter(move |report| {
+                report.service == *service && report.health == peer_api::Health::Ready
+            })
+            .flat_map(|report| report.holdings.iter().map(|holding| (&report.searcher, holding)))
+    }
+
+    fn position(&self, searcher: &ids::SearcherName) -> Result<usize, usize> {
+        self.reports.binary_search_by(|report| report.searcher.cmp(searcher))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,14 +2,24 @@
 //!
 //! The library holds everything; the daemon and the command-line client are thin shells.
 
+pub mod attempts;
 pub mod caller_api;
 pub mod connection;
+pub mod entry;
 pub mod events;
+pub mod frame;
+pub mod holdings;
 pub mod ids;
+pub mod link;
 pub mod operator_api;
+pub mod owner;
+pub mod peer_api;
+pub mod peers;
 pub mod platform;
 pub mod platform_api;
+pub mod query;
 pub mod rank;
+pub mod route;
 pub mod searcher_api;
 pub mod settings;
 pub mod snapshot;
--- /dev/null
+++ b/src/link.rs
@@ -0,0 +1,451 @@
+//! Links between instances: one TCP connection to each peer, dialled by whoever wants something.
+//!
+//! A link that is silent for [`SILENCE_MAX`] is given up and dialled anew: something between the two
+//! ends may have lost track of it.
+
+use crate::attempts;
+use crate::frame;
+use crate::ids;
+use crate::peer_api;
+use crate::peers;
+use std::net;
+use std::sync;
+use std::time;
+
+/// How often a side with nothing to say sends a heartbeat.
+pub const HEARTBEAT_PERIOD: time::Duration = time::Duration::from_millis(500);
+
+/// How long a side may be silent before the link is given up.
+pub const SILENCE_MAX: time::Duration = time::Duration::from_millis(2_000);
+
+/// How long dialling and the exchange of hellos may take.
+pub const DIAL_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+
+const DIAL_PAUSE: time::Duration = time::Duration::from_millis(200);
+const QUEUE_FRAMES: usize = 4_096;
+const WRITE_BATCH_BYTES: usize = 64 * 1024;
+const HELLO_MAX_BYTES: usize = 1_024;
+
+/// The frames that wait to be written to a link.
+pub type FrameSender = tokio::sync::mpsc::Sender<peer_api::Frame>;
+
+/// The key that all instances of a deployment share.
+#[derive(Clone, Copy)]
+pub struct LinkKey(pub [u8; 32]);
+
+/// Why nothing was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SendError {
+    /// There is no link to the instance now.
+    #[error("no link")]
+    NoLink,
+    /// The link's queue is full.
+    #[error("link queue full")]
+    QueueFull,
+}
+
+/// Why a request over a link has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RequestError {
+    /// Nothing was sent.
+    #[error("not sent: {0}")]
+    NotSent(#[from] SendError),
+    /// It was sent, and the link broke or the time was over.
+    #[error("lost")]
+    Lost,
+}
+
+/// What a link's other end wants of this instance.
+pub trait Serve: Send + Sync + 'static {
+    /// A frame came over a link that the peer dialled; answers go to `sender`.
+    fn asked(&self, peer: &ids::InstanceName, frame: peer_api::Frame, sender: &FrameSender);
+    /// A peer has dialled; it wants this instance's reports.
+    fn opened(&self, peer: &ids::InstanceName, sender: &FrameSender);
+    /// Reports came from a peer.
+    fn reported(&self, reports: Vec<peer_api::SearcherReport>);
+}
+
+struct Pending {
+    id: u64,
+    sender: tokio::sync::oneshot::Sender<peer_api::Reply>,
+}
+
+struct Link {
+    peer: ids::InstanceName,
+    boot: ids::BootId,
+    sender: FrameSender,
+    pending: sync::Arc<sync::Mutex<Vec<Pending>>>,
+}
+
+struct Dialling {
+    peer: ids::InstanceName,
+    address: net::SocketAddr,
+    task: tokio::task::JoinHandle<()>,
+}
+
+/// The links of this instance.
+pub struct Links {
+    me: ids::InstanceName,
+    boot: ids::BootId,
+    key: LinkKey,
+    attempts: sync::Arc<attempts::Attempts>,
+    up: sync::RwLock<Vec<Link>>,
+    dialling: sync::Mutex<Vec<Dialling>>,
+    accepted: sync::Mutex<Vec<FrameSender>>,
+    next_request: sync::atomic::AtomicU64,
+}
+
+impl Links {
+    /// No link yet.
+    pub fn new(
+        me: ids::InstanceName,
+        boot: ids::BootId,
+        key: LinkKey,
+        attempts: sync::Arc<attempts::Attempts>,
+    ) -> Self {
+        Self {
+            me,
+            boot,
+            key,
+            attempts,
+            up: sync::RwLock::default(),
+            dialling: sync::Mutex::default(),
+            accepted: sync::Mutex::default(),
+            next_request: sync::atomic::AtomicU64::new(1),
+        }
+    }
+
+    /// Sends a frame to a peer, if there is a link.
+    ///
+    /// # Errors
+    ///
+    /// When nothing was sent.
+    pub fn send(&self, peer: &ids::InstanceName, frame: peer_api::Frame) -> Result<(), SendError> {
+        let up = read(&self.up);
+        let Some(link) = find(&up, peer) else {
+            return Err(SendError::NoLink);
+        };
+        link.sender.try_send(frame).map_err(|_| SendError::QueueFull)
+    }
+
+    /// Asks a peer and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`RequestError`] tells whether the peer can have seen the request.
+    pub async fn request(
+        &self,
+        peer: &ids::InstanceName,
+        request: peer_api::Request,
+        timeout: time::Duration,
+    ) -> Result<peer_api::Reply, RequestError> {
+        let id = self.next_request.fetch_add(1, sync::atomic::Ordering::Relaxed);
+        let (sender, receiver) = tokio::sync::oneshot::channel();
+        let pending = {
+            let up = read(&self.up);
+            let Some(link) = find(&up, peer) else {
+                return Err(RequestError::NotSent(SendError::NoLink));
+            };
+            lock(&link.pending).push(Pending { id, sender });
+            if link.sender.try_send(peer_api::Frame::Request { id, request }).is_err() {
+                forget(&link.pending, id);
+                return Err(RequestError::NotSent(SendError::QueueFull));
+            }
+            sync::Arc::downgrade(&link.pending)
+        };
+        match tokio::time::timeout(timeout, receiver).await {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(_)) => Err(RequestError::Lost),
+            Err(_) => {
+                if let Some(pending) = pending.upgrade() {
+                    forget(&pending, id);
+                }
+                Err(RequestError::Lost)
+            }
+        }
+    }
+
+    /// The boot of the peer at the other end of the link, if there is one.
+    pub fn peer_boot(&self, peer: &ids::InstanceName) -> Option<ids::BootId> {
+        let up = read(&self.up);
+        find(&up, peer).map(|link| link.boot)
+    }
+
+    /// How many dialled links are up.
+    pub fn up_count(&self) -> usize {
+        read(&self.up).len()
+    }
+
+    /// Sends a frame to each instance that has dialled this one.
+    pub fn broadcast(&self, frame: &peer_api::Frame) {
+        let mut accepted = lock(&self.accepted);
+        accepted.retain(|sender| !sender.is_closed());
+        for sender in accepted.iter() {
+            if sender.try_send(frame.clone()).is_err() {
+                tracing::debug!("a peer's queue is full; it gets the next report");
+            }
+        }
+    }
+
+    /// Dials each peer of the view that is not dialled yet and gives up those that left it.
+    pub fn follow(self: &sync::Arc<Self>, view: &peers::Peers, serve: &sync::Arc<impl Serve>) {
+        let mut dialling = lock(&self.dialling);
+        dialling.retain(|dialled| {
+            let kept =
+                view.find(&dialled.peer).is_some_and(|peer| peer.peer_address == dialled.address);
+            if !kept {
+                dialled.task.abort();
+                self.down(&dialled.peer);
+            }
+            kept
+        });
+        for peer in view.all() {
+            if peer.instance == self.me || dialling.iter().any(|d| d.peer == peer.instance) {
+                continue;
+            }
+            let links = self.clone();
+            let serve = serve.clone();
+            let instance = peer.instance.clone();
+            let address = peer.peer_address;
+            let task = tokio::spawn(async move {
+                links.keep_dialling(instance, address, serve).await;
+            });
+            dialling.push(Dialling { peer: peer.instance.clone(), address, task });
+        }
+    }
+
+    /// Takes links that peers dial, for ever.
+    pub async fn accept(
+        self: sync::Arc<Self>,
+        listener: tokio::net::TcpListener,
+        serve: sync::Arc<impl Serve>,
+    ) {
+        loop {
+            let (stream, _) = match listener.accept().await {
+                Ok(accepted) => accepted,
+                Err(error) => {
+                    tracing::debug!(%error, "accept failed");
+                    tokio::time::sleep(DIAL_PAUSE).await;
+                    continue;
+                }
+            };
+            let links = self.clone();
+            let serve = serve.clone();
+            tokio::spawn(async move {
+                if let Err(error) = links.serve_link(stream, serve).await {
+                    tracing::debug!(%error, "accepted link ended");
+                }
+            });
+        }
+    }
+
+    async fn keep_dialling(
+        self: sync::Arc<Self>,
+        peer: ids::InstanceName,
+        address: net::SocketAddr,
+        serve: sync::Arc<impl Serve>,
+    ) {
+        loop {
+            if let Err(error) = self.dial(&peer, address, &serve).await {
+                tracing::debug!(%peer, %error, "link ended");
+            }
+            self.down(&peer);
+            tokio::time::sleep(DIAL_PAUSE).await;
+        }
+    }
+
+    async fn dial(
+        &self,
+        peer: &ids::InstanceName,
+        address: net::SocketAddr,
+        serve: &sync::Arc<impl Serve>,
+    ) -> Result<(), frame::FrameError> {
+        let dialled = tokio::time::timeout(DIAL_TIMEOUT, async {
+            let mut stream = tokio::net::TcpStream::connect(address).await?;
+            stream.set_nodelay(true)?;
+            let shaken = self.shake(&mut stream, frame::Side::Dialer).await?;
+            Ok::<_, frame::FrameError>((stream, shaken))
+        });
+        let (stream, shaken) = dialled.await.map_err(|_| timed_out())??;
+        if shaken.peer.instance != *peer {
+            return Err(frame::FrameError::NotAuthentic);
+        }
+        let (sender, receiver) = tokio::sync::mpsc::channel(QUEUE_FRAMES);
+        let pending: sync::Arc<sync::Mutex<Vec<Pending>>> = sync::Arc::default();
+        let link =
+            Link { peer: peer.clone(), boot: shaken.peer.boot, sender, pending: pending.clone() };
+        self.up(link);
+        let (reader, writer) = stream.into_split();
+        let mut shaken = shaken;
+        let writing = write_frames(writer, shaken.outgoing, receiver);
+        let reading = read_frames(reader, &mut shaken.incoming, |frame| match frame {
+            peer_api::Frame::Shard(reply) => {
+                self.attempts.resolve(reply);
+            }
+            peer_api::Frame::Reports(reports) => serve.reported(reports),
+            peer_api::Frame::Reply { id, reply } => answer(&pending, id, reply),
+            _ => {}
+        });
+        tokio::select! {
+            ended = reading => ended,
+            ended = writing => ended,
+        }
+    }
+
+    async fn serve_link(
+        &self,
+        mut stream: tokio::net::TcpStream,
+        serve: sync::Arc<impl Serve>,
+    ) -> Result<(), frame::FrameError> {
+        stream.set_nodelay(true)?;
+        let shaking = self.shake(&mut stream, frame::Side::Acceptor);
+        let mut shaken =
+            tokio::time::timeout(DIAL_TIMEOUT, shaking).await.map_err(|_| timed_out())??;
+        let peer = shaken.peer.instance.clone();
+        let (sender, receiver) = tokio::sync::mpsc::channel(QUEUE_FRAMES);
+        lock(&self.accepted).push(sender.clone());
+        serve.opened(&peer, &sender);
+        let (reader, writer) = stream.into_split();
+        let writing = write_frames(writer, shaken.outgoing, receiver);
+        let reading = read_frames(reader, &mut shaken.incoming, |frame| {
+            serve.asked(&peer, frame, &sender);
+        });
+        let ended = tokio::select! {
+            ended = reading => ended,
+            ended = writing => ended,
+        };
+        lock(&self.accepted).retain(|accepted| !accepted.same_channel(&sender));
+        ended
+    }
+
+    /// Exchanges hellos. Both are authenticated with the cluster's key, and all later frames with a
+    /// key drawn from both nonces.
+    async fn shake(
+        &self,
+        stream: &mut tokio::net::TcpStream,
+        side: frame::Side,
+    ) -> Result<Shaken, frame::FrameError> {
+        let hello =
+            peer_api::Hello { instance: self.me.clone(), boot: self.boot, nonce: rand::random() };
+        let other = match side {
+            frame::Side::Dialer => frame::Side::Acceptor,
+            frame::Side::Acceptor => frame::Side::Dialer,
+        };
+        let mut buffer = Vec::new();
+        frame::Codec::new(self.key.0, side).encode(&hello, &mut buffer)?;
+        frame::write(stream, &buffer).await?;
+        let rest = frame::read(stream, HELLO_MAX_BYTES).await?;
+        let peer: peer_api::Hello = frame::Codec::new(self.key.0, other).decode(&rest)?;
+        let (dialer, acceptor) = match side {
+            frame::Side::Dialer => (&hello.nonce, &peer.nonce),
+            frame::Side::Acceptor => (&peer.nonce, &hello.nonce),
+        };
+        let mut hasher = blake3::Hasher::new_keyed(&self.key.0);
+        hasher.update(dialer);
+        hasher.update(acceptor);
+        let session = *hasher.finalize().as_bytes();
+        Ok(Shaken {
+            peer,
+            outgoing: frame::Codec::new(session, side),
+            incoming: frame::Codec::new(session, other),
+        })
+    }
+
+    fn up(&self, link: Link) {
+        let mut up = write(&self.up);
+        match up.binary_search_by(|known| known.peer.cmp(&link.peer)) {
+            Ok(index) => {
+                if let Some(known) = up.get_mut(index) {
+                    *known = link;
+                }
+            }
+            Err(index) => up.insert(index, link),
+        }
+    }
+
+    fn down(&self, peer: &ids::InstanceName) {
+        write(&self.up).retain(|link| link.peer != *peer);
+        self.attempts.fail_owner(peer);
+    }
+}
+
+struct Shaken {
+    peer: peer_api::Hello,
+    outgoing: frame::Codec,
+    incoming: frame::Codec,
+}
+
+fn timed_out() -> frame::FrameError {
+    frame::FrameError::Stream(std::io::ErrorKind::TimedOut.into())
+}
+
+fn answer(pending: &sync::Mutex<Vec<Pending>>, id: u64, reply: peer_api::Reply) {
+    let mut pending = lock(pending);
+    let Some(index) = pending.iter().position(|waiting| waiting.id == id) else {
+        return;
+    };
+    let waiting = pending.swap_remove(index);
+    if waiting.sender.send(reply).is_err() {
+        tracing::trace!("nobody waits for the answer any more");
+    }
+}
+
+fn forget(pending: &sync::Mutex<Vec<Pending>>, id: u64) {
+    lock(pending).retain(|waiting| waiting.id != id);
+}
+
+async fn write_frames(
+    mut stream: tokio::net::tcp::OwnedWriteHalf,
+    mut codec: frame::Codec,
+    mut receiver: tokio::sync::mpsc::Receiver<peer_api::Frame>,
+) -> Result<(), frame::FrameError> {
+    let mut buffer = Vec::new();
+    loop {
+        let next = tokio::time::timeout(HEARTBEAT_PERIOD, receiver.recv()).await;
+        let first = match next {
+            Err(_) => peer_api::Frame::Heartbeat,
+            Ok(Some(frame)) => frame,
+            Ok(None) => return Ok(()),
+        };
+        buffer.clear();
+        codec.encode(&first, &mut buffer)?;
+        while buffer.len() < WRITE_BATCH_BYTES {
+            let Ok(frame) = receiver.try_recv() else {
+                break;
+            };
+            codec.encode(&frame, &mut buffer)?;
+        }
+        let written = tokio::time::timeout(SILENCE_MAX, frame::write(&mut stream, &buffer)).await;
+        written.map_err(|_| timed_out())??;
+    }
+}
+
+async fn read_frames(
+    stream: tokio::net::tcp::OwnedReadHalf,
+    codec: &mut frame::Codec,
+    mut take: impl FnMut(peer_api::Frame),
+) -> Result<(), frame::FrameError> {
+    let mut stream = tokio::io::BufReader::with_capacity(WRITE_BATCH_BYTES, stream);
+    loop {
+        let reading = frame::read(&mut stream, frame::FRAME_MAX_BYTES);
+        let rest = tokio::time::timeout(SILENCE_MAX, reading).await.map_err(|_| timed_out())??;
+        take(codec.decode(&rest)?);
+    }
+}
+
+fn find<'a>(links: &'a [Link], peer: &ids::InstanceName) -> Option<&'a Link> {
+    let index = links.binary_search_by(|link| link.peer.cmp(peer)).ok()?;
+    links.get(index)
+}
+
+fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+fn read<T>(lock: &sync::RwLock<T>) -> sync::RwLockReadGuard<'_, T> {
+    lock.read().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+fn write<T>(lock: &sync::RwLock<T>) -> sync::RwLockWriteGuard<'_, T> {
+    lock.write().unwrap_or_else(sync::PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/peers.rs
@@ -0,0 +1,184 @@
+//! The instances as the data path sees them: a sorted, immutable view that is replaced as a whole.
+
+use crate::ids;
+use crate::platform_api;
+use std::net;
+use std::sync;
+
+/// One instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Its name.
+    pub instance: ids::InstanceName,
+    /// Its boot.
+    pub boot: ids::BootId,
+    /// Its address for callers.
+    pub address: net::SocketAddr,
+    /// Its address for instances.
+    pub peer_address: net::SocketAddr,
+    /// Its region.
+    pub region: ids::RegionName,
+    /// Its failure domain.
+    pub failure_domain: ids::DomainName,
+    /// Whether it may own searchers and be named to callers.
+    pub eligible: bool,
+}
+
+/// All instances that are not known to be gone, the own one among them, sorted by name.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Peers {
+    peers: Vec<Peer>,
+}
+
+impl Peers {
+    /// A view of `peers` in any order.
+    pub fn new(mut peers: Vec<Peer>) -> Self {
+        peers.sort_by(|left, right| left.instance.cmp(&right.instance));
+        Self { peers }
+    }
+
+    /// The peers, sorted by name.
+    pub fn all(&self) -> &[Peer] {
+        &self.peers
+    }
+
+    /// The peer with this name.
+    pub fn find(&self, instance: &ids::InstanceName) -> Option<&Peer> {
+        let index = self.peers.binary_search_by(|peer| peer.instance.cmp(instance)).ok()?;
+        self.peers.get(index)
+    }
+
+    /// The owner of a searcher that runs at this place: the eligible instance of its failure domain,
+    /// else of its region, else of all, with the highest rendezvous weight.
+    pub fn owner(&self, place: &Place, searcher: &ids::SearcherName) -> Option<&Peer> {
+        let mut best: Option<(Distance, u64, &Peer)> = None;
+        for peer in &self.peers {
+            if !peer.eligible {
+                continue;
+            }
+            let distance = place.distance(&peer.region, &peer.failure_domain);
+            let weight = rendezvous_weight(peer.instance.as_str(), searcher.as_str());
+            let better = match &best {
+                None => true,
+                Some((best_distance, best_weight, _)) => {
+                    (distance, std::cmp::Reverse(weight))
+                        < (*best_distance, std::cmp::Reverse(*best_weight))
+                }
+            };
+            if better {
+                best = Some((distance, weight, peer));
+            }
+        }
+        best.map(|(_, _, peer)| peer)
+    }
+}
+
+/// The weight of `member` for `key` in rendezvous hashing; the highest wins.
+pub fn rendezvous_weight(member: &str, key: &str) -> u64 {
+    let seed = xxhash_rust::xxh3::xxh3_64(member.as_bytes());
+    xxhash_rust::xxh3::xxh3_64_with_seed(key.as_bytes(), seed)
+}
+
+/// How far apart two places are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Distance {
+    /// The same failure domain.
+    SameDomain,
+    /// The same region.
+    SameRegion,
+    /// Another region.
+    OtherRegion,
+}
+
+/// A region and a failure domain in it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// The region.
+    pub region: ids::RegionName,
+    /// The failure domain.
+    pub failure_domain: ids::DomainName,
+}
+
+impl Place {
+    /// How far the other place is.
+    pub fn distance(&self, region: &ids::RegionName, domain: &ids::DomainName) -> Distance {
+        if self.failure_domain == *domain {
+            return Distance::SameDomain;
+        }
+        if self.region == *region {
+            return Distance::SameRegion;
+        }
+        Distance::OtherRegion
+    }
+}
+
+/// A searcher, as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedSearcher {
+    /// Its name.
+    pub searcher: ids::SearcherName,
+    /// Its service.
+    pub service: ids::ServiceName,
+    /// Its HTTP address.
+    pub address: net::SocketAddr,
+    /// Where it runs.
+    pub place: Place,
+    /// Whether the platform is about to stop it.
+    pub leaving: bool,
+}
+
+/// The searchers that the platform lists, sorted by name.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Directory {
+    searchers: Vec<ListedSearcher>,
+}
+
+impl Directory {
+    /// The searchers of the platform's list.
+    pub fn new(list: &platform_api::InstanceList) -> Self {
+        let mut searchers = Vec::new();
+        for listed in &list.instances {
+            let platform_api::Workload::Searcher { searcher, service, address } = &listed.workload
+            else {
+                continue;
+            };
+            let place = Place {
+                region: listed.region.clone(),
+                failure_domain: listed.failure_domain.clone(),
+            };
+            searchers.push(ListedSearcher {
+                searcher: searcher.clone(),
+                service: service.clone(),
+                address: *address,
+                place,
+                leaving: listed.state == platform_api::ListState::Leaving,
+            });
+        }
+        searchers.sort_by(|left, right| left.searcher.cmp(&right.searcher));
+        searchers.dedup_by(|left, right| left.searcher == right.searcher);
+        Self { searchers }
+    }
+
+    /// The searchers, sorted by name.
+    pub fn all(&self) -> &[ListedSearcher] {
+        &self.searchers
+    }
+
+    /// The searcher with this name.
+    pub fn find(&self, searcher: &ids::SearcherName) -> Option<&ListedSearcher> {
+        let index = self.searchers.binary_search_by(|s| s.searcher.cmp(searcher)).ok()?;
+        self.searchers.get(index)
+    }
+}
+
+/// What the duties of an instance share: views that one duty replaces and the others read.
+#[derive(Debug, Default)]
+pub struct World {
+    /// The instances.
+    pub peers: arc_swap::ArcSwap<Peers>,
+    /// The searchers.
+    pub directory: arc_swap::ArcSwap<Directory>,
+}
+
+/// The world, shared.
+pub type SharedWorld = sync::Arc<World>;
