--- a/src/bin/tarragondoord.rs
+++ b/src/bin/tarragondoord.rs
@@ -1,3 +1,13 @@
-//! A thin shell.
+//! An instance of the query tier: a thin shell around the library.
 
-fn main() {}
+use std::process;
+
+fn main() -> process::ExitCode {
+    match tarragondoor::daemon::main(std::env::args_os().skip(1)) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("tarragondoord: {error:?}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,149 @@
+//! An instance's own settings: who it is, where it listens, and whom it knows at the start.
+//!
+//! Written in JSON with comments, read once. Secrets come from the environment.
+
+use crate::ids;
+use crate::link;
+use crate::peers;
+use compact_str::CompactString;
+use serde::Deserialize;
+use std::net;
+
+/// The environment variable with the key that all instances share: 64 hexadecimal digits.
+pub const KEY_VARIABLE: &str = "TARRAGONDOOR_KEY";
+
+/// The environment variable with the operators' token.
+pub const TOKEN_VARIABLE: &str = "TARRAGONDOOR_TOKEN";
+
+/// The shortest accepted token, in bytes.
+pub const TOKEN_MIN_BYTES: usize = 16;
+
+/// Why an instance's settings can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ConfigError {
+    /// The file is not JSON with comments, or not of the expected shape.
+    #[error("{0}")]
+    Malformed(CompactString),
+    /// The file is empty.
+    #[error("no settings in the file")]
+    Empty,
+    /// A variable is missing in the environment.
+    #[error("environment variable {0} is not set")]
+    MissingVariable(&'static str),
+    /// The key is not 64 hexadecimal digits.
+    #[error("environment variable {KEY_VARIABLE} must have 64 hexadecimal digits")]
+    BadKey,
+    /// The token is too short.
+    #[error("environment variable {TOKEN_VARIABLE} must have at least {TOKEN_MIN_BYTES} bytes")]
+    ShortToken,
+}
+
+/// Another instance that is known at the start.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Seed {
+    /// Its name.
+    pub instance: ids::InstanceName,
+    /// Its address for instances.
+    pub peer_address: net::SocketAddr,
+}
+
+/// An instance's own settings.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// Its name.
+    pub instance: ids::InstanceName,
+    /// Its region.
+    pub region: ids::RegionName,
+    /// Its failure domain.
+    pub failure_domain: ids::DomainName,
+    /// Where it listens for callers and operators, by HTTP. Others reach it under this address.
+    pub listen: net::SocketAddr,
+    /// Where it listens for instances, by UDP and TCP. Others reach it under this address.
+    pub peer_listen: net::SocketAddr,
+    /// The platform's address.
+    pub platform: net::SocketAddr,
+    /// Instances to try first, besides those on the platform's list.
+    #[serde(default)]
+    pub seeds: Vec<Seed>,
+    /// How long callers may keep an address answer.
+    #[serde(default = "default_address_ttl_ms")]
+    pub address_ttl_ms: u32,
+    /// How many threads serve requests.
+    #[serde(default = "default_worker_threads")]
+    pub worker_threads: u16,
+    /// How logs are written.
+    #[serde(default)]
+    pub log: LogFormat,
+}
+
+/// How logs are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// Lines for a person.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// What an instance must not show.
+#[derive(Clone)]
+pub struct Secrets {
+    /// The key that all instances share.
+    pub key: link::LinkKey,
+    /// The operators' token.
+    pub token: CompactString,
+}
+
+impl Config {
+    /// Where the instance runs.
+    pub fn place(&self) -> peers::Place {
+        peers::Place { region: self.region.clone(), failure_domain: self.failure_domain.clone() }
+    }
+}
+
+/// Reads settings from JSON with comments.
+///
+/// # Errors
+///
+/// When the text is malformed; the message has the line and column.
+pub fn parse(text: &str) -> Result<Config, ConfigError> {
+    let options = jsonc_parser::ParseOptions::default();
+    let value = jsonc_parser::parse_to_serde_value::<Option<serde_json::Value>>(text, &options)
+        .map_err(|error| ConfigError::Malformed(compact_str::format_compact!("{error}")))?;
+    let Some(value) = value else {
+        return Err(ConfigError::Empty);
+    };
+    serde_json::from_value(value)
+        .map_err(|error| ConfigError::Malformed(compact_str::format_compact!("{error}")))
+}
+
+/// Reads the secrets through `variable`, which looks up an environment variable.
+///
+/// # Errors
+///
+/// When one is missing or malformed.
+pub fn secrets(variable: impl Fn(&str) -> Option<String>) -> Result<Secrets, ConfigError> {
+    let key = variable(KEY_VARIABLE).ok_or(ConfigError::MissingVariable(KEY_VARIABLE))?;
+    let token = variable(TOKEN_VARIABLE).ok_or(ConfigError::MissingVariable(TOKEN_VARIABLE))?;
+    if token.len() < TOKEN_MIN_BYTES {
+        return Err(ConfigError::ShortToken);
+    }
+    Ok(Secrets { key: parse_key(&key)?, token: token.into() })
+}
+
+fn parse_key(text: &str) -> Result<link::LinkKey, ConfigError> {
+    let hash = blake3::Hash::from_hex(text).map_err(|_| ConfigError::BadKey)?;
+    Ok(link::LinkKey(*hash.as_bytes()))
+}
+
+fn default_address_ttl_ms() -> u32 {
+    5_000
+}
+
+fn default_worker_threads() -> u16 {
+    2
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,103 @@
+//! The daemon's command line and its runtime.
+
+use crate::config;
+use crate::instance;
+use crate::settings;
+use error_stack::ResultExt as _;
+use std::ffi;
+use std::path;
+
+const HELP: &str = "\
+Runs an instance of the query tier.
+
+Usage: tarragondoord --config FILE
+
+Options:
+      --config FILE    The instance's own settings, JSON with comments
+  -h, --help           Print help
+  -V, --version        Print version
+
+Environment:
+  TARRAGONDOOR_KEY     The key that all instances share, 64 hexadecimal digits
+  TARRAGONDOOR_TOKEN   The operators' token, at least 16 bytes
+  RUST_LOG             What to log, such as `info` or `tarragondoor=debug`";
+
+/// Why the daemon ended.
+#[derive(Debug, thiserror::Error)]
+pub enum DaemonError {
+    /// The command line is wrong.
+    #[error("wrong command line")]
+    Usage,
+    /// The settings can't be used.
+    #[error("can't use the settings")]
+    Config,
+    /// The instance could not run.
+    #[error("can't run")]
+    Run,
+}
+
+enum Asked {
+    Run(path::PathBuf, Option<path::PathBuf>),
+    Help,
+    Version,
+}
+
+/// Runs the daemon with these arguments, the program's name left out.
+///
+/// # Errors
+///
+/// When it could not run.
+pub fn main(
+    arguments: impl IntoIterator<Item = ffi::OsString>,
+) -> Result<(), error_stack::Report<DaemonError>> {
+    let (config, settings) = match parse(arguments).change_context(DaemonError::Usage)? {
+        Asked::Help => {
+            println!("{HELP}");
+            return Ok(());
+        }
+        Asked::Version => {
+            println!("tarragondoord {}", env!("CARGO_PKG_VERSION"));
+            return Ok(());
+        }
+        Asked::Run(config, settings) => (config, settings),
+    };
+    let text = std::fs::read_to_string(&config)
+        .change_context(DaemonError::Config)
+        .attach_with(|| config.display().to_string())?;
+    let config = config::parse(&text).change_context(DaemonError::Config)?;
+    let secrets =
+        config::secrets(|name| std::env::var(name).ok()).change_context(DaemonError::Config)?;
+    let settings = match settings {
+        None => settings::Settings::default(),
+        Some(path) => {
+            let text = std::fs::read_to_string(path).change_context(DaemonError::Config)?;
+            serde_json::from_str(&text).change_context(DaemonError::Config)?
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(usize::from(config.worker_threads))
+        .enable_all()
+        .build()
+        .change_context(DaemonError::Run)?;
+    runtime.block_on(instance::run(config, secrets, settings)).change_context(DaemonError::Run)
+}
+
+fn parse(arguments: impl IntoIterator<Item = ffi::OsString>) -> Result<Asked, lexopt::Error> {
+    use lexopt::prelude::{Long, Short};
+    let mut parser = lexopt::Parser::from_args(arguments);
+    let mut config = None;
+    let mut settings = None;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("config") => config = Some(path::PathBuf::from(parser.value()?)),
+            Long("settings") => settings = Some(path::PathBuf::from(parser.value()?)),
+            Short('h') | Long("help") => return Ok(Asked::Help),
+            Short('V') | Long("version") => return Ok(Asked::Version),
+            other => return Err(other.unexpected()),
+        }
+    }
+    match config {
+        Some(config) => Ok(Asked::Run(config, settings)),
+        None => Err(lexopt::Error::Custom("--config is missing".into())),
+    }
+}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -19,6 +19,9 @@
 /// How many outcomes of one query may wait to be taken in.
 const REPLIES_QUEUE: usize = 1_024;
 
+/// The most addresses in one answer.
+const ADDRESSES_MAX: usize = 8;
+
 /// The longest deadline that a caller may ask for.
 pub const DEADLINE_MAX_MS: u32 = 20_000;
 
@@ -317,3 +320,51 @@
     owner: ids::InstanceName,
     calls: Vec<peer_api::ShardCall>,
 }
+
+/// Where a caller says to be.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Near {
+    /// Its region, if told.
+    pub region: Option<ids::RegionName>,
+    /// Its failure domain, if told.
+    pub failure_domain: Option<ids::DomainName>,
+}
+
+impl Near {
+    fn distance(&self, peer: &peers::Peer) -> peers::Distance {
+        if self.failure_domain.as_ref() == Some(&peer.failure_domain) {
+            return peers::Distance::SameDomain;
+        }
+        if self.region.as_ref() == Some(&peer.region) {
+            return peers::Distance::SameRegion;
+        }
+        peers::Distance::OtherRegion
+    }
+}
+
+impl Node {
+    /// The addresses for a caller: the nearest first, those equally near in random order.
+    pub fn addresses(&self, near: Near, ttl_ms: u32) -> caller_api::AddressesReply {
+        let peers = self.world.peers.load();
+        let mut rated: Vec<(peers::Distance, u64, &peers::Peer)> = Vec::new();
+        for peer in peers.all() {
+            if !peer.eligible {
+                continue;
+            }
+            rated.push((near.distance(peer), rand::random(), peer));
+        }
+        rated.sort_by_key(|(distance, random, _)| (*distance, *random));
+        rated.truncate(ADDRESSES_MAX);
+        let mut addresses = Vec::with_capacity(rated.len());
+        for (_, _, peer) in rated {
+            addresses.push(caller_api::Address {
+                instance: peer.instance.clone(),
+                address: peer.address,
+                region: peer.region.clone(),
+                failure_domain: peer.failure_domain.clone(),
+                boot: peer.boot,
+            });
+        }
+        caller_api::AddressesReply { ttl_ms, addresses }
+    }
+}
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,144 @@
+//! The HTTP server for callers and operators.
+
+use crate::caller_api;
+use crate::entry;
+use crate::ids;
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use std::net;
+use std::sync;
+use volo_http::body::Body;
+use volo_http::request;
+use volo_http::response;
+use volo_http::server::route;
+use volo_http::utils;
+
+/// What the handlers share.
+pub type Shared = utils::Extension<sync::Arc<App>>;
+
+/// The server's state.
+pub struct App {
+    /// The instance.
+    pub node: sync::Arc<entry::Node>,
+    /// The operators' token.
+    pub token: compact_str::CompactString,
+    /// How long callers may keep an address answer.
+    pub address_ttl_ms: u32,
+}
+
+/// The routes.
+pub fn router(app: sync::Arc<App>) -> route::Router {
+    route::Router::new()
+        .route("/v1/addresses", route::get(addresses))
+        .route("/v1/search", route::post(search))
+        .layer(utils::Extension(app))
+}
+
+async fn search(utils::Extension(app): Shared, request: request::Request) -> response::Response {
+    let traceparent = traceparent(&request);
+    let call = match body(request).await {
+        Ok(call) => call,
+        Err(error) => return refused(&error),
+    };
+    match app.node.search(call, traceparent).await {
+        Ok(answer) => json(http::StatusCode::OK, &answer),
+        Err(error) => refused(&error),
+    }
+}
+
+async fn addresses(utils::Extension(app): Shared, request: request::Request) -> response::Response {
+    let query = request.uri().query().unwrap_or_default();
+    let asked = match place(query) {
+        Ok(asked) => asked,
+        Err(error) => return refused(&error),
+    };
+    let reply = app.node.addresses(asked, app.address_ttl_ms);
+    json(http::StatusCode::OK, &reply)
+}
+
+/// The place that a caller says to be near to.
+fn place(query: &str) -> Result<entry::Near, caller_api::ErrorReply> {
+    let mut near = entry::Near::default();
+    for pair in query.split('&') {
+        let Some((name, value)) = pair.split_once('=') else {
+            continue;
+        };
+        match name {
+            "region" => near.region = Some(parse(value)?),
+            "failure_domain" => near.failure_domain = Some(parse(value)?),
+            _ => continue,
+        }
+    }
+    Ok(near)
+}
+
+fn parse<T: std::str::FromStr<Err = ids::ParseIdError>>(
+    text: &str,
+) -> Result<T, caller_api::ErrorReply> {
+    text.parse().map_err(|error: ids::ParseIdError| {
+        entry::refuse(caller_api::ErrorCode::BadRequest, error.to_string())
+    })
+}
+
+/// The W3C trace context of a request; empty if there is none.
+fn traceparent(request: &request::Request) -> compact_str::CompactString {
+    match request.headers().get("traceparent").map(http::HeaderValue::to_str) {
+        Some(Ok(text)) => text.into(),
+        _ => compact_str::CompactString::default(),
+    }
+}
+
+/// A request's body, read up to the limit and parsed.
+pub(crate) async fn body<T: serde::de::DeserializeOwned>(
+    request: request::Request,
+) -> Result<T, caller_api::ErrorReply> {
+    let limited = http_body_util::Limited::new(request.into_body(), caller_api::BODY_MAX_BYTES);
+    let bytes = match limited.collect().await {
+        Ok(collected) => collected.to_bytes(),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            let code = caller_api::ErrorCode::TooLarge;
+            return Err(entry::refuse(code, "the body is too large"));
+        }
+        Err(error) => {
+            return Err(entry::refuse(caller_api::ErrorCode::BadRequest, error.to_string()));
+        }
+    };
+    serde_json::from_slice(&bytes)
+        .map_err(|error| entry::refuse(caller_api::ErrorCode::BadRequest, error.to_string()))
+}
+
+/// An error as a response.
+pub(crate) fn refused(error: &caller_api::ErrorReply) -> response::Response {
+    let status = http::StatusCode::from_u16(error.code.http_status())
+        .unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
+    json(status, error)
+}
+
+/// A value as a JSON response.
+pub(crate) fn json(status: http::StatusCode, value: &impl serde::Serialize) -> response::Response {
+    let bytes = match serde_json::to_vec(value) {
+        Ok(bytes) => Bytes::from(bytes),
+        Err(error) => {
+            tracing::error!(%error, "answer can't be written");
+            return plain(http::StatusCode::INTERNAL_SERVER_ERROR, Bytes::new());
+        }
+    };
+    plain(status, bytes)
+}
+
+fn plain(status: http::StatusCode, bytes: Bytes) -> response::Response {
+    let mut response = response::Response::new(Body::from(bytes));
+    *response.status_mut() = status;
+    let kind = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+    response
+}
+
+/// Binds the server's socket.
+///
+/// # Errors
+///
+/// When the address can't be bound.
+pub async fn bind(address: net::SocketAddr) -> std::io::Result<tokio::net::TcpListener> {
+    tokio::net::TcpListener::bind(address).await
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,12 +4,16 @@
 
 pub mod attempts;
 pub mod caller_api;
+pub mod config;
 pub mod connection;
+pub mod daemon;
 pub mod entry;
 pub mod events;
 pub mod frame;
 pub mod holdings;
+pub mod http;
 pub mod ids;
+pub mod instance;
 pub mod link;
 pub mod operator_api;
 pub mod owner;
@@ -21,5 +25,6 @@
 pub mod rank;
 pub mod route;
 pub mod searcher_api;
+pub mod serve;
 pub mod settings;
 pub mod snapshot;
--- /dev/null
+++ b/src/serve.rs
@@ -0,0 +1,60 @@
+//! What this instance does for the instances that have dialled it.
+
+use crate::caller_api;
+use crate::entry;
+use crate::ids;
+use crate::link;
+use crate::owner;
+use crate::peer_api;
+use std::sync;
+
+/// Serves the frames that come over accepted links.
+pub struct Server {
+    /// The instance.
+    pub node: sync::Arc<entry::Node>,
+}
+
+impl link::Serve for Server {
+    fn asked(&self, peer: &ids::InstanceName, frame: peer_api::Frame, sender: &link::FrameSender) {
+        match frame {
+            peer_api::Frame::Search(search) => {
+                self.node.owner.search(search, &owner::ReplyTo::Link(sender.clone()));
+            }
+            peer_api::Frame::Cancel(attempts) => self.node.owner.cancel(&attempts),
+            peer_api::Frame::Request { id, request } => {
+                let node = self.node.clone();
+                let sender = sender.clone();
+                tokio::spawn(async move {
+                    let reply = answer(&node, request).await;
+                    if sender.send(peer_api::Frame::Reply { id, reply }).await.is_err() {
+                        tracing::debug!("the link broke before the answer");
+                    }
+                });
+            }
+            peer_api::Frame::Heartbeat => {}
+            _ => tracing::debug!(%peer, "frame not expected on an accepted link"),
+        }
+    }
+
+    fn opened(&self, _peer: &ids::InstanceName, sender: &link::FrameSender) {
+        let reports = self.node.owner.reports();
+        if sender.try_send(peer_api::Frame::Reports(reports)).is_err() {
+            tracing::debug!("link gone or full");
+        }
+    }
+
+    fn reported(&self, reports: Vec<peer_api::SearcherReport>) {
+        self.node.merge_reports(reports);
+    }
+}
+
+async fn answer(node: &entry::Node, request: peer_api::Request) -> peer_api::Reply {
+    match request {
+        peer_api::Request::OwnerRun(run) => peer_api::Reply::OwnerRun(node.owner.run(run).await),
+        peer_api::Request::HomeRun { .. } => peer_api::Reply::HomeRun(Err(entry::refuse(
+            caller_api::ErrorCode::Internal,
+            "not wired",
+        ))),
+        peer_api::Request::Settings(_) => peer_api::Reply::Settings(Vec::new()),
+    }
+}
