--- /dev/null
+++ b/tests/query.rs
@@ -0,0 +1,344 @@
+//! One snapshot, true coverage, whole answers: the query's state machine under faults.
+
+use tarragondoor::caller_api;
+use tarragondoor::holdings;
+use tarragondoor::ids;
+use tarragondoor::peer_api;
+use tarragondoor::peers;
+use tarragondoor::query;
+use tarragondoor::route;
+use tarragondoor::searcher_api;
+use tarragondoor::snapshot;
+
+const SHARDS: u32 = 4;
+const LIMIT: u16 = 100;
+
+fn snap(index_version: u64) -> snapshot::Snapshot {
+    snapshot::Snapshot {
+        index_version: ids::IndexVersion(index_version),
+        map_version: ids::MapVersion(1),
+    }
+}
+
+fn searcher(number: u32) -> ids::SearcherName {
+    format!("s{number}").parse().expect("a valid name")
+}
+
+/// Four searchers; searcher n holds the shards n and n + 1.
+fn replicas() -> holdings::Replicas {
+    let mut shards = Vec::new();
+    for shard in 0..SHARDS {
+        let mut holders = vec![searcher(shard), searcher((shard + SHARDS - 1) % SHARDS)];
+        holders.sort();
+        shards.push(holders);
+    }
+    holdings::Replicas { snapshot: snap(7), shards }
+}
+
+fn start() -> (query::Query<route::Nearest>, Vec<query::Output>) {
+    let mut distances = Vec::new();
+    for number in 0..SHARDS {
+        let distance = peers::Distance::SameDomain;
+        distances.push(route::Far { searcher: searcher(number), distance });
+    }
+    let query_id = ids::QueryId(1_000);
+    let chooser = route::Nearest { replicas: replicas(), distances, query_id };
+    let terms = query::Terms {
+        query_id,
+        first_attempt: 0,
+        snapshot: snap(7),
+        shard_count: SHARDS,
+        limit: LIMIT,
+        effort: caller_api::Effort::default(),
+    };
+    query::Query::start(0, terms, chooser)
+}
+
+fn hits(shard: ids::ShardId, at: snapshot::Snapshot) -> searcher_api::ShardHits {
+    let hit = |n: u32| searcher_api::Hit {
+        document: format!("{}-{shard}-{n}", at.index_version).into(),
+        score: f64::from(shard.0) + f64::from(n) / 10.0,
+    };
+    searcher_api::ShardHits { shard, hits: vec![hit(0), hit(1)] }
+}
+
+fn answered(call: &peer_api::ShardCall, at: snapshot::Snapshot) -> peer_api::ShardOutcome {
+    let shards = call.shards.iter().map(|shard| hits(*shard, at)).collect();
+    peer_api::ShardOutcome::Answered { snapshot: at, shards }
+}
+
+fn reply(call: &peer_api::ShardCall, outcome: peer_api::ShardOutcome) -> peer_api::ShardReply {
+    peer_api::ShardReply {
+        attempt: call.attempt,
+        searcher: call.searcher.clone(),
+        outcome,
+        load: None,
+    }
+}
+
+fn sends(outputs: &[query::Output]) -> Vec<peer_api::ShardCall> {
+    let mut calls = Vec::new();
+    for output in outputs {
+        let query::Output::Send(call) = output else {
+            continue;
+        };
+        calls.push(call.clone());
+    }
+    calls
+}
+
+fn end(outputs: &[query::Output]) -> Option<query::End> {
+    for output in outputs {
+        let query::Output::Done(end) = output else {
+            continue;
+        };
+        return Some(end.clone());
+    }
+    None
+}
+
+/// What searcher s1 does in a row of the table; the others answer well.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    None,
+    Lost,
+    Shed,
+    SnapshotGone,
+    OtherSnapshot,
+    LacksOneShard,
+    AnswersUnasked,
+    AnswersTwice,
+    OtherSearchersName,
+    Silent,
+}
+
+/// How a driven query went.
+struct Driven {
+    end: query::End,
+    dropped: u32,
+    calls_to_faulty: u32,
+}
+
+/// Drives a query whose calls to `faulty` meet `fault`.
+fn drive(fault: Fault, faulty: &[ids::SearcherName]) -> Driven {
+    let (mut query, outputs) = start();
+    let mut calls_to_faulty = 0;
+    let mut ended = end(&outputs);
+    let mut open = sends(&outputs);
+    while let Some(call) = open.pop() {
+        let well = answered(&call, snap(7));
+        let replies = if faulty.contains(&call.searcher) {
+            calls_to_faulty += 1;
+            faulty_replies(fault, &call, well)
+        } else {
+            vec![reply(&call, well)]
+        };
+        for reply in replies {
+            let outputs = query.reply(1, reply);
+            open.extend(sends(&outputs));
+            let now = end(&outputs);
+            assert!(ended.is_none() || now.is_none(), "{fault:?}: ended twice");
+            ended = ended.or(now);
+        }
+    }
+    if ended.is_none() {
+        ended = end(&query.expire());
+    }
+    let end = ended.unwrap_or_else(|| panic!("{fault:?}: did not end"));
+    assert_eq!(query.expire(), Vec::new(), "{fault:?}: outputs after the end");
+    Driven { end, dropped: query.dropped(), calls_to_faulty }
+}
+
+fn faulty_replies(
+    fault: Fault,
+    call: &peer_api::ShardCall,
+    well: peer_api::ShardOutcome,
+) -> Vec<peer_api::ShardReply> {
+    let failed = |failure| vec![reply(call, peer_api::ShardOutcome::Failed(failure))];
+    let refused = peer_api::Failure::Refused;
+    match fault {
+        Fault::None => vec![reply(call, well)],
+        Fault::Lost => failed(peer_api::Failure::Lost),
+        Fault::Shed => failed(refused(searcher_api::Refusal::Shed)),
+        Fault::SnapshotGone => failed(refused(searcher_api::Refusal::SnapshotGone)),
+        Fault::OtherSnapshot => vec![reply(call, answered(call, snap(8)))],
+        Fault::LacksOneShard => {
+            let mut shorter = call.clone();
+            shorter.shards.pop();
+            vec![reply(call, answered(&shorter, snap(7)))]
+        }
+        Fault::AnswersUnasked => {
+            let mut longer = call.clone();
+            for shard in (0..SHARDS).map(ids::ShardId) {
+                if !longer.shards.contains(&shard) {
+                    longer.shards.push(shard);
+                }
+            }
+            vec![reply(call, answered(&longer, snap(7)))]
+        }
+        Fault::AnswersTwice => vec![reply(call, well.clone()), reply(call, well)],
+        Fault::OtherSearchersName => {
+            let mut forged = reply(call, well);
+            forged.searcher = searcher(99);
+            vec![forged]
+        }
+        Fault::Silent => Vec::new(),
+    }
+}
+
+/// Checks that an answer says of itself what is true of it.
+fn check(answer: &query::Partial) {
+    let mut expected = Vec::new();
+    for shard in (0..SHARDS).map(ids::ShardId) {
+        if answer.coverage.missing.contains(&shard) {
+            continue;
+        }
+        expected.extend(hits(shard, snap(7)).hits);
+    }
+    assert_eq!(answer.hits, query::merge(expected, LIMIT), "hits are those of the covered shards");
+    assert_eq!(answer.coverage.shards_total, SHARDS);
+    let counted = answer.coverage.shards_answered + answer.coverage.missing.len() as u32;
+    assert_eq!(counted, SHARDS);
+}
+
+#[test]
+fn faults_of_one_searcher_leave_the_answer_whole() {
+    // The last column: how many shard answers are dropped for each call that meets the fault.
+    let faults = [
+        (Fault::None, 0),
+        (Fault::Lost, 0),
+        (Fault::Shed, 0),
+        (Fault::SnapshotGone, 0),
+        (Fault::OtherSnapshot, 0),
+        (Fault::LacksOneShard, 0),
+        (Fault::AnswersTwice, 1),
+    ];
+    for (fault, drops_per_call) in faults {
+        for faulty in 0..SHARDS {
+            let driven = drive(fault, &[searcher(faulty)]);
+            let query::End::Answer(answer) = driven.end else {
+                panic!("{fault:?} at s{faulty}: {:?}", driven.end);
+            };
+            check(&answer);
+            assert_eq!(answer.coverage.missing, Vec::new(), "{fault:?} at s{faulty}");
+            let expected = driven.calls_to_faulty * drops_per_call;
+            assert_eq!(driven.dropped, expected, "{fault:?} at s{faulty}: drops");
+        }
+    }
+}
+
+#[test]
+fn shards_that_were_not_asked_for_are_dropped() {
+    for faulty in 0..SHARDS {
+        let driven = drive(Fault::AnswersUnasked, &[searcher(faulty)]);
+        let query::End::Answer(answer) = driven.end else {
+            panic!("s{faulty}: {:?}", driven.end);
+        };
+        check(&answer);
+        assert_eq!(answer.coverage.missing, Vec::new(), "s{faulty}");
+        assert!(driven.dropped >= driven.calls_to_faulty, "s{faulty}: {}", driven.dropped);
+    }
+}
+
+#[test]
+fn an_answer_that_is_not_whole_says_what_it_lacks() {
+    let all: Vec<ids::SearcherName> = (0..SHARDS).map(searcher).collect();
+    for fault in [Fault::Lost, Fault::Shed, Fault::OtherSnapshot, Fault::Silent] {
+        let ended = drive(fault, &all).end;
+        let query::End::Answer(answer) = ended else {
+            panic!("{fault:?}: {ended:?}");
+        };
+        check(&answer);
+        assert_eq!(answer.coverage.shards_answered, 0, "{fault:?}");
+    }
+    let ended = drive(Fault::OtherSearchersName, &all).end;
+    let query::End::Answer(answer) = ended else {
+        panic!("{ended:?}");
+    };
+    assert_eq!(answer.coverage.shards_answered, 0);
+}
+
+#[test]
+fn a_snapshot_that_all_replicas_dropped_starts_the_query_again() {
+    let ended = drive(Fault::SnapshotGone, &[searcher(0), searcher(1)]).end;
+    assert!(matches!(ended, query::End::SnapshotGone(_)), "{ended:?}");
+}
+
+#[test]
+fn a_hedge_asks_another_searcher_and_the_late_answer_is_dropped() {
+    let (mut query, outputs) = start();
+    let calls = sends(&outputs);
+    let slow = calls.first().expect("a call").clone();
+    for call in calls.iter().skip(1) {
+        assert_eq!(end(&query.reply(1, reply(call, answered(call, snap(7))))), None);
+    }
+    assert_eq!(query.slow_attempts(0).len(), 1);
+    let hedges = sends(&query.hedge(5, slow.attempt));
+    assert!(hedges.iter().all(|hedge| hedge.searcher != slow.searcher));
+    assert_eq!(query.hedge(6, slow.attempt), Vec::new(), "hedged once only");
+    let mut ended = None;
+    for hedge in &hedges {
+        ended = end(&query.reply(7, reply(hedge, answered(hedge, snap(7)))));
+    }
+    let Some(query::End::Answer(answer)) = ended else {
+        panic!("{ended:?}");
+    };
+    check(&answer);
+    assert_eq!(answer.coverage.missing, Vec::new());
+    assert_eq!(query.reply(8, reply(&slow, answered(&slow, snap(7)))), Vec::new());
+    assert_eq!(query.dropped(), 1);
+}
+
+/// A schedule: for each step, which open call is answered and how.
+fn run_schedule(steps: &[(u8, u8)]) -> bool {
+    let (mut query, outputs) = start();
+    let mut ended = end(&outputs);
+    let mut calls = sends(&outputs);
+    for (pick, kind) in steps {
+        let Some(call) = calls.get(usize::from(*pick) % calls.len().max(1)).cloned() else {
+            break;
+        };
+        let well = answered(&call, snap(7));
+        let outputs = match kind % 12 {
+            0 | 1 => query.reply(1, reply(&call, well)),
+            2 => query.hedge(1, call.attempt),
+            other => {
+                let fault = match other {
+                    3 => Fault::Lost,
+                    4 => Fault::Shed,
+                    5 => Fault::SnapshotGone,
+                    6 => Fault::OtherSnapshot,
+                    7 => Fault::LacksOneShard,
+                    8 => Fault::AnswersUnasked,
+                    9 => Fault::AnswersTwice,
+                    10 => Fault::OtherSearchersName,
+                    _ => Fault::Silent,
+                };
+                let mut outputs = Vec::new();
+                for reply in faulty_replies(fault, &call, well) {
+                    outputs.extend(query.reply(1, reply));
+                }
+                outputs
+            }
+        };
+        calls.extend(sends(&outputs));
+        let now = end(&outputs);
+        assert!(ended.is_none() || now.is_none(), "ended twice");
+        ended = ended.or(now);
+    }
+    let ended = ended.or_else(|| end(&query.expire()));
+    match ended {
+        Some(query::End::Answer(answer)) => {
+            check(&answer);
+            true
+        }
+        Some(query::End::SnapshotGone(_)) => true,
+        None => false,
+    }
+}
+
+#[test]
+fn any_order_of_answers_and_faults_tells_the_truth() {
+    let property: fn(Vec<(u8, u8)>) -> bool = |steps| run_schedule(&steps);
+    quickcheck::QuickCheck::new().tests(5_000).quickcheck(property);
+}
