--- /dev/null
+++ b/src/home.rs
@@ -0,0 +1,308 @@
+//! Sees non-idempotent requests through: at their home by the ledger, elsewhere by asking the home.
+
+use crate::caller_api;
+use crate::entry;
+use crate::holdings;
+use crate::ids;
+use crate::key;
+use crate::ledger;
+use crate::link;
+use crate::peer_api;
+use crate::peers;
+use compact_str::CompactString;
+use std::sync;
+use std::time;
+
+/// How much longer than the caller's time another instance waits for the home.
+const FORWARD_SLACK: time::Duration = time::Duration::from_millis(250);
+
+/// How long after its deadline an attempt is waited for, so that a late outcome is still recorded.
+const LATE_OUTCOME: time::Duration = time::Duration::from_secs(10);
+
+struct Running {
+    key: u128,
+    settled: tokio::sync::watch::Receiver<bool>,
+}
+
+/// The requests that this boot of this instance is the home of.
+pub struct Home {
+    ledger: sync::Mutex<ledger::Ledger>,
+    running: sync::Mutex<Vec<Running>>,
+}
+
+/// How a call gets its answer.
+enum Step {
+    Answer(ledger::Verdict),
+    Wait(tokio::sync::watch::Receiver<bool>),
+    Start(tokio::sync::watch::Sender<bool>, tokio::sync::watch::Receiver<bool>),
+    Forward(ids::InstanceName, ids::BootId),
+}
+
+impl Home {
+    /// Knows of no request.
+    pub fn new(me: ids::InstanceName, boot: ids::BootId) -> Self {
+        Self {
+            ledger: sync::Mutex::new(ledger::Ledger::new(me, boot)),
+            running: sync::Mutex::default(),
+        }
+    }
+
+    fn ledger(&self) -> sync::MutexGuard<'_, ledger::Ledger> {
+        self.ledger.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn running(&self) -> sync::MutexGuard<'_, Vec<Running>> {
+        self.running.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// How many requests are being run.
+    pub fn open_count(&self) -> usize {
+        self.running().len()
+    }
+
+    fn take(
+        &self,
+        key: &key::Key,
+        request: ledger::Request,
+    ) -> Result<Step, caller_api::ErrorReply> {
+        let mut ledger = self.ledger();
+        let step = match ledger.request(unix_ms(), key, request) {
+            ledger::Decision::Answer(verdict) => Step::Answer(verdict),
+            ledger::Decision::Forward { to, boot } => Step::Forward(to, boot),
+            ledger::Decision::OtherBody => {
+                let code = caller_api::ErrorCode::BadKey;
+                return Err(entry::refuse(code, "the key belongs to another request"));
+            }
+            ledger::Decision::Start => {
+                let (sender, receiver) = tokio::sync::watch::channel(false);
+                let settled = receiver.clone();
+                self.running().push(Running { key: key.hash(), settled });
+                Step::Start(sender, receiver)
+            }
+            ledger::Decision::Attach => {
+                let running = self.running();
+                match running.iter().find(|running| running.key == key.hash()) {
+                    Some(running) => Step::Wait(running.settled.clone()),
+                    None => Step::Answer(ledger.verdict(unix_ms(), key)),
+                }
+            }
+        };
+        Ok(step)
+    }
+
+    fn settled(&self, key: &key::Key, sender: &tokio::sync::watch::Sender<bool>) {
+        self.running().retain(|running| running.key != key.hash());
+        sender.send_replace(true);
+    }
+}
+
+impl entry::Node {
+    /// Answers a non-idempotent request of a caller, whichever instance its home is.
+    ///
+    /// # Errors
+    ///
+    /// When the request is not one that can be run. It was not run for this call.
+    pub async fn run(
+        self: &sync::Arc<Self>,
+        call: caller_api::RunCall,
+        traceparent: CompactString,
+    ) -> Result<caller_api::RunAnswer, caller_api::ErrorReply> {
+        let key = self.check_run(&call)?;
+        match self.take(&key, &call)? {
+            Step::Forward(home, boot) => Ok(self.ask_home(&key, home, boot, call, traceparent).await),
+            step => Ok(self.finish(&key, step, call, traceparent).await),
+        }
+    }
+
+    /// Answers a non-idempotent request that another instance has passed on. It is not passed on
+    /// again: an instance that is not the home knows nothing.
+    ///
+    /// # Errors
+    ///
+    /// As [`entry::Node::run`].
+    pub async fn run_as_home(
+        self: &sync::Arc<Self>,
+        call: caller_api::RunCall,
+        traceparent: CompactString,
+    ) -> Result<caller_api::RunAnswer, caller_api::ErrorReply> {
+        let key = self.check_run(&call)?;
+        match self.take(&key, &call)? {
+            Step::Forward(..) => Ok(home_unreachable(&key)),
+            step => Ok(self.finish(&key, step, call, traceparent).await),
+        }
+    }
+
+    fn take(
+        &self,
+        key: &key::Key,
+        call: &caller_api::RunCall,
+    ) -> Result<Step, caller_api::ErrorReply> {
+        let request = ledger::Request {
+            body: key::BodyHash::of(call),
+            rank: call.rank,
+            deadline_ms: unix_ms() + u64::from(call.deadline_ms),
+        };
+        self.home.take(key, request)
+    }
+
+    fn check_run(&self, call: &caller_api::RunCall) -> Result<key::Key, caller_api::ErrorReply> {
+        let settings = self.settings.load();
+        let Some(policy) = settings.service(&call.service) else {
+            let code = caller_api::ErrorCode::UnknownService;
+            return Err(entry::refuse(code, "the service is not in the settings in force"));
+        };
+        if policy.operations.binary_search(&call.operation).is_err() {
+            let code = caller_api::ErrorCode::UnknownOperation;
+            return Err(entry::refuse(code, "the operation is not declared for the service"));
+        }
+        if call.deadline_ms > entry::DEADLINE_MAX_MS {
+            let code = caller_api::ErrorCode::BadRequest;
+            return Err(entry::refuse(code, "the deadline is too far"));
+        }
+        call.key.parse().map_err(|error: key::ParseKeyError| {
+            entry::refuse(caller_api::ErrorCode::BadKey, error.to_string())
+        })
+    }
+
+    async fn finish(
+        self: &sync::Arc<Self>,
+        key: &key::Key,
+        step: Step,
+        call: caller_api::RunCall,
+        traceparent: CompactString,
+    ) -> caller_api::RunAnswer {
+        let deadline_ms = call.deadline_ms;
+        let mut receiver = match step {
+            Step::Answer(verdict) => return verdict.answer(key),
+            Step::Forward(..) => return home_unreachable(key),
+            Step::Wait(receiver) => receiver,
+            Step::Start(sender, receiver) => {
+                // A task of its own: a caller that hangs up must not cut the request half way.
+                let node = self.clone();
+                let key = key.clone();
+                tokio::spawn(async move {
+                    node.drive(&key, &call, &traceparent).await;
+                    node.home.settled(&key, &sender);
+                });
+                receiver
+            }
+        };
+        let timeout = time::Duration::from_millis(deadline_ms.into());
+        let settled = tokio::time::timeout(timeout, receiver.wait_for(|settled| *settled)).await;
+        if settled.is_err() {
+            tracing::debug!(%key, "the caller's time is over before the outcome is known");
+        }
+        self.home.ledger().verdict(unix_ms(), key).answer(key)
+    }
+
+    /// Has the request run by one searcher after the other, until one ran it or may have.
+    async fn drive(&self, key: &key::Key, call: &caller_api::RunCall, traceparent: &CompactString) {
+        let started = tokio::time::Instant::now();
+        let deadline = started + time::Duration::from_millis(call.deadline_ms.into());
+        let mut cause = caller_api::ErrorCode::NoSearcher;
+        for searcher in self.run_candidates(call) {
+            let attempt = match self.home.ledger().may_send(unix_ms(), key) {
+                ledger::Permit::Send(attempt) => attempt,
+                ledger::Permit::Denied(_) => return,
+            };
+            let left = deadline.saturating_duration_since(tokio::time::Instant::now());
+            let run = peer_api::OwnerRun {
+                attempt: ids::AttemptId(rand::random()),
+                searcher,
+                traceparent: traceparent.clone(),
+                service: call.service.clone(),
+                operation: call.operation.clone(),
+                subject: call.subject.clone(),
+                rank: call.rank,
+                timeout_ms: left.as_millis() as u32,
+                expires_unix_ms: unix_ms() + left.as_millis() as u64,
+            };
+            let outcome = self.run_at_owner(run, left + LATE_OUTCOME).await;
+            if let peer_api::RunOutcome::Failed(peer_api::Failure::Overloaded) = outcome {
+                cause = caller_api::ErrorCode::Overloaded;
+            }
+            let next = self.home.ledger().attempt_ended(unix_ms(), key, attempt, ended(outcome));
+            match next {
+                ledger::Next::TryAnother => continue,
+                ledger::Next::Settled(_) | ledger::Next::Ignored => return,
+            }
+        }
+        self.home.ledger().give_up(unix_ms(), key, cause);
+    }
+
+    /// The ready searchers of the service; the same subject goes to the same one if it can.
+    fn run_candidates(&self, call: &caller_api::RunCall) -> Vec<ids::SearcherName> {
+        let holdings: sync::Arc<holdings::Holdings> = self.holdings.load_full();
+        let mut rated = Vec::new();
+        for report in holdings.all() {
+            if report.service != call.service || report.health != peer_api::Health::Ready {
+                continue;
+            }
+            let weight = peers::rendezvous_weight(report.searcher.as_str(), &call.subject);
+            rated.push((std::cmp::Reverse(weight), report.searcher.clone()));
+        }
+        rated.sort();
+        rated.into_iter().map(|(_, searcher)| searcher).collect()
+    }
+
+    async fn run_at_owner(
+        &self,
+        run: peer_api::OwnerRun,
+        timeout: time::Duration,
+    ) -> peer_api::RunOutcome {
+        let failed = peer_api::RunOutcome::Failed;
+        let Some(owner) = self.owner_of(&run.searcher) else {
+            return failed(peer_api::Failure::NotOwner);
+        };
+        if owner == self.me {
+            return self.owner.run(run).await;
+        }
+        let request = peer_api::Request::OwnerRun(run);
+        match self.links.request(&owner, request, timeout).await {
+            Ok(peer_api::Reply::OwnerRun(outcome)) => outcome,
+            Err(link::RequestError::NotSent(_)) => failed(peer_api::Failure::NotSent),
+            Ok(_) | Err(link::RequestError::Lost) => failed(peer_api::Failure::Lost),
+        }
+    }
+
+    /// Asks the home of a key. Whatever happens on the way, it did not run here.
+    async fn ask_home(
+        &self,
+        key: &key::Key,
+        home: ids::InstanceName,
+        boot: ids::BootId,
+        call: caller_api::RunCall,
+        traceparent: CompactString,
+    ) -> caller_api::RunAnswer {
+        if self.links.peer_boot(&home).is_some_and(|known| known != boot) {
+            return home_unreachable(key);
+        }
+        let timeout = time::Duration::from_millis(call.deadline_ms.into()) + FORWARD_SLACK;
+        let request = peer_api::Request::HomeRun { traceparent, call };
+        match self.links.request(&home, request, timeout).await {
+            Ok(peer_api::Reply::HomeRun(Ok(answer))) => answer,
+            _ => home_unreachable(key),
+        }
+    }
+}
+
+/// The answer when the home can't be asked: the caller may have sent it there before.
+fn home_unreachable(key: &key::Key) -> caller_api::RunAnswer {
+    ledger::Verdict::Unknown(caller_api::ErrorCode::HomeUnreachable).answer(key)
+}
+
+fn ended(outcome: peer_api::RunOutcome) -> ledger::AttemptOutcome {
+    match outcome {
+        peer_api::RunOutcome::Ran(result) => ledger::AttemptOutcome::Ran(result),
+        peer_api::RunOutcome::Failed(failure) if failure.did_not_run() => {
+            ledger::AttemptOutcome::Refused
+        }
+        peer_api::RunOutcome::Failed(_) => ledger::AttemptOutcome::Lost,
+    }
+}
+
+/// Milliseconds since the Unix epoch.
+pub fn unix_ms() -> u64 {
+    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
+    since.as_millis() as u64
+}
--- a/src/peer_api.rs
+++ b/src/peer_api.rs
@@ -154,6 +154,9 @@
     pub rank: rank::Rank,
     /// How much of the caller's time is left.
     pub timeout_ms: u32,
+    /// When the request is of no use any more, in milliseconds since the Unix epoch: a frozen owner
+    /// that wakes later must not send it.
+    pub expires_unix_ms: u64,
 }
 
 /// What came of an [`OwnerRun`].
