Address answers carry the time that keys start with

Contract change, additive: AddressesReply.issued_s, and the form of a nonce. Cause: an instance without a disk can't remember each key for ever, and a key that it forgot must never run again; the time of issue in the key tells a forgotten key from a new one without trusting the caller's clock.

--- a/src/caller_api.rs
+++ b/src/caller_api.rs
@@ -39,6 +39,9 @@
 pub struct AddressesReply {
     /// How long the answer may be used.
     pub ttl_ms: u32,
+    /// The time of the answer, in seconds since the Unix epoch, with which the nonces of
+    /// idempotency keys start.
+    pub issued_s: u64,
     /// The addresses, the nearest failure domain first.
     pub addresses: Vec<Address>,
 }
@@ -105,7 +108,9 @@
 #[serde(deny_unknown_fields)]
 pub struct RunCall {
     /// The idempotency key: `<instance>:<boot>:<nonce>`, with an instance and its boot from an
-    /// address answer and a nonce of the caller's own. A retry repeats the key, at any instance.
+    /// address answer, and as the nonce the answer's `issued_s`, a `-` and characters drawn by the
+    /// caller (16 to 64 characters of `A-Z a-z 0-9 - _` in all). A retry repeats the key, at any
+    /// instance, for at most ten minutes after the first call.
     pub key: CompactString,
     /// The service.
     pub service: ids::ServiceName,
