Ledger and keys

Cause: a claim or an order must run at most once, and "not run" must stay true, on instances that keep nothing.

Weighed for keys whose record was dropped: a hash of every key for the whole boot (a flood of refused requests fills any bound for good); the time of issue in the key with a floor, the newest time of issue among dropped records, at or below which nothing starts. Taken: the floor. It is safe whatever the clocks do; a key too old is answered "unknown", not "bad key", since it may have run. A key that can't be recorded is answered "unknown" too, for the same reason.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod caller_api;
 pub mod events;
 pub mod ids;
+pub mod key;
+pub mod ledger;
 pub mod operator_api;
 pub mod platform_api;
 pub mod rank;
--- /dev/null
+++ b/tests/ledger.rs
@@ -0,0 +1,205 @@
+//! The ledger's fault table: each row is a story of one key, with what every step must say.
+
+use compact_str::CompactString;
+use std::str::FromStr as _;
+use tarragondoor::caller_api;
+use tarragondoor::ids;
+use tarragondoor::key;
+use tarragondoor::ledger;
+use tarragondoor::ledger::{AttemptOutcome, Decision, Next, Permit, Verdict};
+use tarragondoor::rank;
+
+const START_MS: u64 = 1_700_000_000_000;
+const DEADLINE_MS: u64 = 1_000;
+
+#[derive(Clone, Copy)]
+enum Step {
+    Request,
+    OtherBody,
+    Seal,
+    GiveUp,
+    Send,
+    Ran,
+    Refused,
+    Lost,
+    After(u64),
+    Verdict,
+}
+
+fn key_of(text: &str) -> key::Key {
+    key::Key::from_str(text).unwrap()
+}
+
+fn request_of(body: u64) -> ledger::Request {
+    let body = key::BodyHash(body);
+    ledger::Request { body, rank: rank::Rank::Urgent, deadline_ms: START_MS + DEADLINE_MS }
+}
+
+fn show_verdict(verdict: &Verdict) -> String {
+    match verdict {
+        Verdict::Ran(result) => format!("ran {result}"),
+        Verdict::NotRun(cause) => format!("not run: {cause}"),
+        Verdict::Unknown(cause) => format!("unknown: {cause}"),
+    }
+}
+
+fn show_next(next: &Next) -> String {
+    match next {
+        Next::TryAnother => "try another".to_owned(),
+        Next::Settled(verdict) => show_verdict(verdict),
+        Next::Ignored => "ignored".to_owned(),
+    }
+}
+
+fn outcome_of(step: Step) -> Option<AttemptOutcome> {
+    match step {
+        Step::Ran => Some(AttemptOutcome::Ran(CompactString::from("ok"))),
+        Step::Refused => Some(AttemptOutcome::Refused),
+        Step::Lost => Some(AttemptOutcome::Lost),
+        _ => None,
+    }
+}
+
+fn tell(key: &key::Key, steps: &[Step]) -> Vec<String> {
+    let home = ids::InstanceName::from_str("a").unwrap();
+    let mut ledger = ledger::Ledger::new(home, ids::BootId(7));
+    let mut now_ms = START_MS;
+    let mut attempt = None;
+    let mut said = Vec::new();
+    for step in steps {
+        if let Some(outcome) = outcome_of(*step) {
+            let next = ledger.attempt_ended(now_ms, key, attempt.unwrap(), outcome);
+            said.push(show_next(&next));
+            continue;
+        }
+        said.push(match step {
+            Step::Request | Step::OtherBody => {
+                let body = if matches!(step, Step::Request) { 1 } else { 2 };
+                match ledger.request(now_ms, key, request_of(body)) {
+                    Decision::Answer(verdict) => show_verdict(&verdict),
+                    decision => format!("{decision:?}"),
+                }
+            }
+            Step::Seal => {
+                let cause = caller_api::ErrorCode::NotReady;
+                let verdict = ledger.seal(now_ms, key, rank::Rank::Urgent, cause);
+                verdict.as_ref().map_or("elsewhere".to_owned(), show_verdict)
+            }
+            Step::GiveUp => {
+                show_verdict(&ledger.give_up(now_ms, key, caller_api::ErrorCode::NoSearcher))
+            }
+            Step::Send => match ledger.may_send(now_ms, key) {
+                Permit::Send(number) => {
+                    attempt = Some(number);
+                    "send".to_owned()
+                }
+                Permit::Denied(verdict) => format!("denied, {}", show_verdict(&verdict)),
+            },
+            Step::Verdict => show_verdict(&ledger.verdict(now_ms, key)),
+            Step::After(delay_ms) => {
+                now_ms += delay_ms;
+                continue;
+            }
+            Step::Ran | Step::Refused | Step::Lost => continue,
+        });
+    }
+    said
+}
+
+#[test]
+fn fault_table() {
+    use Step::*;
+    const OWN: &str = "a:7:1700000000-abcdef";
+    const LIFE: u64 = ledger::KEY_LIFETIME_MS;
+    let rows: &[(&str, &str, &[Step])] = &[
+        ("runs, reply lost, asked again", OWN, &[Request, Send, Ran, Request]),
+        ("asked again while it runs", OWN, &[Request, Request, Send, Request, Ran, Request]),
+        ("same key, other body", OWN, &[Request, OtherBody, Send, Ran, OtherBody]),
+        ("refused, then another runs it", OWN, &[Request, Send, Refused, Send, Ran]),
+        ("refused at the deadline", OWN, &[Request, Send, After(DEADLINE_MS), Refused, Send]),
+        ("no searcher left", OWN, &[Request, Send, Refused, GiveUp, Send, Request]),
+        ("silent connection", OWN, &[Request, Send, Lost, Send, Request, GiveUp]),
+        ("silent connection speaks late", OWN, &[Request, Send, Lost, Request, Ran, Request]),
+        ("lost, then a late refusal", OWN, &[Request, Send, Lost, Refused, Request]),
+        ("frozen before the send", OWN, &[Request, After(DEADLINE_MS), Send, Request]),
+        ("frozen past the lifetime", OWN, &[Request, After(LIFE), Send, Request]),
+        ("frozen while sent", OWN, &[Request, Send, After(DEADLINE_MS), Verdict, Request, Ran]),
+        ("doubled reply", OWN, &[Request, Send, Ran, Ran]),
+        ("answer of a refused attempt", OWN, &[Request, Send, Refused, Ran, Refused]),
+        ("sealed, then the first comes late", OWN, &[Seal, Request, Send, Seal]),
+        ("sealed while it runs", OWN, &[Request, Send, Seal, Ran, Seal]),
+        ("past its deadline when it comes", OWN, &[After(DEADLINE_MS), Request, Send]),
+        ("forgotten, asked again", OWN, &[Request, Send, Ran, After(LIFE), Request, Seal, Send]),
+        ("holder killed: key of an older boot", "a:6:1700000000-abcdef", &[Request, Seal, Send]),
+        ("key of a boot that is to come", "a:8:1700000000-abcdef", &[Request, Seal, Send]),
+        ("another instance's key", "b:7:1700000000-abcdef", &[Request, Seal, Send]),
+        ("issued in the far future", "a:7:1700000061-abcdef", &[Request, Seal, Send]),
+    ];
+    let mut text = String::new();
+    for (name, key, steps) in rows {
+        let said = tell(&key_of(key), steps);
+        text.push_str(&format!("{name}\n    {}\n", said.join("\n    ")));
+    }
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn a_full_ledger_refuses_background_work_first_and_runs_nothing_unrecorded() {
+    let home = ids::InstanceName::from_str("a").unwrap();
+    let mut ledger = ledger::Ledger::with_records_max(home, ids::BootId(7), 8);
+    let mut said = Vec::new();
+    for rank in [rank::Rank::Background, rank::Rank::Standard, rank::Rank::Urgent] {
+        let mut started = 0;
+        for number in 0..8 {
+            let key = key_of(&format!("a:7:1700000000-{rank}-{number}"));
+            let decision =
+                ledger.request(START_MS, &key, ledger::Request { rank, ..request_of(1) });
+            if decision == Decision::Start {
+                started += 1;
+                continue;
+            }
+            let full = Verdict::Unknown(caller_api::ErrorCode::Overloaded);
+            assert_eq!(decision, Decision::Answer(full));
+            assert!(matches!(ledger.may_send(START_MS, &key), Permit::Denied(_)));
+        }
+        said.push((rank, started));
+    }
+    assert_eq!(
+        said,
+        [(rank::Rank::Background, 4), (rank::Rank::Standard, 2), (rank::Rank::Urgent, 2)]
+    );
+    assert_eq!(ledger.record_count(), 8);
+}
+
+#[test]
+fn keys_have_one_spelling() {
+    let mut text = String::new();
+    for key in [
+        "a:7:1700000000-abcde",
+        "a:7:1700000000-abcd",
+        "a:07:1700000000-abcde",
+        "a:+7:1700000000-abcde",
+        "a:7:01700000000-abcde",
+        "a:7:abcdefghijklmnop",
+        "a:7:1700000000-abc.e",
+        "a:7",
+        "a:7:1700000000-abcde:",
+        ":7:1700000000-abcde",
+    ] {
+        match key::Key::from_str(key) {
+            Ok(parsed) => {
+                assert_eq!(parsed.to_string(), key);
+                text.push_str(&format!("{key}: {} {}\n", parsed.home(), parsed.issued_s()));
+            }
+            Err(error) => text.push_str(&format!("{key}: {error}\n")),
+        }
+    }
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn a_new_key_parses_as_itself() {
+    let home = ids::InstanceName::from_str("a").unwrap();
+    let key = key::Key::new(home, ids::BootId(7), 1_700_000_000, 9);
+    assert_eq!(key_of(&key.to_string()), key);
+}
--- /dev/null
+++ b/tests/ledger_model.rs
@@ -0,0 +1,283 @@
+//! Any interleaving of requests, seals, losses, restarts and freezes over several instances.
+
+use compact_str::CompactString;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::str::FromStr as _;
+use tarragondoor::caller_api;
+use tarragondoor::ids;
+use tarragondoor::key;
+use tarragondoor::ledger;
+use tarragondoor::ledger::{AttemptOutcome, Decision, Next, Permit, Verdict};
+use tarragondoor::rank;
+
+const START_MS: u64 = 1_700_000_000_000;
+const CASES: u64 = 20_000;
+const HOMES: [&str; 2] = ["a", "b"];
+const RECORDS_MAX: usize = 6;
+
+/// A step; the numbers choose among what there is, modulo its count.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Issue(u8),
+    Request {
+        key: u8,
+        process: u8,
+        body: u8,
+        timeout_ms: u16,
+    },
+    Seal {
+        key: u8,
+        process: u8,
+    },
+    GiveUp {
+        key: u8,
+        process: u8,
+    },
+    Send {
+        key: u8,
+        process: u8,
+    },
+    End {
+        attempt: u8,
+        outcome: u8,
+    },
+    /// A new process takes the name; the old one is frozen and may wake at any step.
+    Restart(u8),
+    Wait {
+        seconds: u16,
+    },
+    ClockBack {
+        seconds: u8,
+    },
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let (key, process) = (u8::arbitrary(g) % 4, u8::arbitrary(g));
+        match u8::arbitrary(g) % 16 {
+            0 => Step::Issue(u8::arbitrary(g)),
+            1..=4 => {
+                let (body, timeout_ms) = (u8::arbitrary(g) / 200, u16::arbitrary(g));
+                Step::Request { key, process, body, timeout_ms }
+            }
+            5 => Step::Seal { key, process },
+            6 => Step::GiveUp { key, process },
+            7..=9 => Step::Send { key, process },
+            10..=12 => Step::End { attempt: u8::arbitrary(g), outcome: u8::arbitrary(g) },
+            13 => Step::Restart(u8::arbitrary(g)),
+            14 => Step::Wait { seconds: u16::arbitrary(g) % 700 },
+            _ => Step::ClockBack { seconds: u8::arbitrary(g) },
+        }
+    }
+}
+
+/// What is true of a key, whatever the ledgers believe.
+struct Truth {
+    key: key::Key,
+    may_have_run: u32,
+    said_ran: bool,
+    said_not_run: bool,
+}
+
+struct Attempt {
+    key: usize,
+    process: usize,
+    number: ledger::Attempt,
+    refused: bool,
+}
+
+struct Started {
+    key: usize,
+    process: usize,
+    deadline_ms: u64,
+}
+
+struct World {
+    now_ms: u64,
+    processes: Vec<(usize, ledger::Ledger)>,
+    truths: Vec<Truth>,
+    attempts: Vec<Attempt>,
+    started: Vec<Started>,
+}
+
+impl World {
+    fn new() -> Self {
+        let (processes, truths) = (Vec::new(), Vec::new());
+        let (attempts, started) = (Vec::new(), Vec::new());
+        let mut world = Self { now_ms: START_MS, processes, truths, attempts, started };
+        for home in 0..HOMES.len() {
+            world.restart(home);
+        }
+        world.issue(0);
+        world.issue(1);
+        world
+    }
+
+    fn restart(&mut self, home: usize) {
+        let boot = ids::BootId(self.processes.len() as u64);
+        let name = ids::InstanceName::from_str(HOMES[home]).unwrap();
+        self.processes.push((home, ledger::Ledger::with_records_max(name, boot, RECORDS_MAX)));
+    }
+
+    fn issue(&mut self, process: u8) {
+        let process = usize::from(process) % self.processes.len();
+        let name = ids::InstanceName::from_str(HOMES[self.processes[process].0]).unwrap();
+        let (boot, number) = (ids::BootId(process as u64), self.truths.len() as u64);
+        let key = key::Key::new(name, boot, self.now_ms / 1_000, number);
+        self.truths.push(Truth { key, may_have_run: 0, said_ran: false, said_not_run: false });
+    }
+
+    /// The newest keys are chosen from, so that steps meet.
+    fn choose(&self, key: u8, process: u8) -> (usize, usize) {
+        let key = self.truths.len() - 1 - usize::from(key) % self.truths.len();
+        (key, usize::from(process) % self.processes.len())
+    }
+
+    fn hear(&mut self, key: usize, verdict: &Verdict) -> Result<(), String> {
+        let truth = &mut self.truths[key];
+        match verdict {
+            Verdict::Ran(_) => truth.said_ran = true,
+            Verdict::NotRun(_) => truth.said_not_run = true,
+            Verdict::Unknown(_) => {}
+        }
+        if truth.said_ran && truth.said_not_run {
+            return Err(format!("{}: both 'ran' and 'not run' were said", truth.key));
+        }
+        if truth.said_not_run && truth.may_have_run > 0 {
+            return Err(format!("{}: 'not run' was said of what may have run", truth.key));
+        }
+        Ok(())
+    }
+
+    fn request(
+        &mut self,
+        key: usize,
+        process: usize,
+        request: ledger::Request,
+    ) -> Result<(), String> {
+        let ledger = &mut self.processes[process].1;
+        match ledger.request(self.now_ms, &self.truths[key].key, request) {
+            Decision::Answer(verdict) => self.hear(key, &verdict),
+            Decision::Start if self.started.iter().any(|started| started.key == key) => {
+                Err(format!("{}: started twice", self.truths[key].key))
+            }
+            Decision::Start => {
+                let deadline_ms = request.deadline_ms;
+                self.started.push(Started { key, process, deadline_ms });
+                Ok(())
+            }
+            Decision::Attach | Decision::OtherBody => Ok(()),
+            Decision::Forward { to, .. } if to == *self.truths[key].key.home() => Ok(()),
+            Decision::Forward { to, .. } => Err(format!("forwarded to {to}")),
+        }
+    }
+
+    fn send(&mut self, key: usize, process: usize) -> Result<(), String> {
+        let now_ms = self.now_ms;
+        let number = match self.processes[process].1.may_send(now_ms, &self.truths[key].key) {
+            Permit::Denied(verdict) => return self.hear(key, &verdict),
+            Permit::Send(number) => number,
+        };
+        let mut started = self.started.iter();
+        let started = started.find(|started| (started.key, started.process) == (key, process));
+        let truth = &mut self.truths[key];
+        truth.may_have_run += 1;
+        if truth.may_have_run > 1 {
+            return Err(format!("{}: sent twice", truth.key));
+        }
+        if truth.said_not_run {
+            return Err(format!("{}: sent after 'not run'", truth.key));
+        }
+        if started.is_none_or(|started| now_ms >= started.deadline_ms) {
+            return Err(format!("{}: sent past its deadline", truth.key));
+        }
+        self.attempts.push(Attempt { key, process, number, refused: false });
+        Ok(())
+    }
+
+    fn end(&mut self, attempt: u8, outcome: u8) -> Result<(), String> {
+        if self.attempts.is_empty() {
+            return Ok(());
+        }
+        let index = usize::from(attempt) % self.attempts.len();
+        let attempt = &mut self.attempts[index];
+        let (key, process, number) = (attempt.key, attempt.process, attempt.number);
+        let outcome = match outcome % 3 {
+            0 if !attempt.refused => AttemptOutcome::Ran(CompactString::from("ok")),
+            1 if !attempt.refused => {
+                attempt.refused = true;
+                self.truths[key].may_have_run -= 1;
+                AttemptOutcome::Refused
+            }
+            _ => AttemptOutcome::Lost,
+        };
+        if matches!(outcome, AttemptOutcome::Ran(_)) {
+            self.attempts.remove(index);
+        }
+        let ledger = &mut self.processes[process].1;
+        match ledger.attempt_ended(self.now_ms, &self.truths[key].key, number, outcome) {
+            Next::Settled(verdict) => self.hear(key, &verdict),
+            Next::TryAnother | Next::Ignored => Ok(()),
+        }
+    }
+
+    fn step(&mut self, step: Step) -> Result<(), String> {
+        match step {
+            Step::Issue(process) => self.issue(process),
+            Step::Restart(home) => self.restart(usize::from(home) % HOMES.len()),
+            Step::Wait { seconds } => self.now_ms += u64::from(seconds) * 1_000,
+            Step::ClockBack { seconds } => self.now_ms -= u64::from(seconds) * 1_000,
+            Step::Request { key, process, body, timeout_ms } => {
+                let (key, process) = self.choose(key, process);
+                let deadline_ms = self.now_ms + u64::from(timeout_ms);
+                let body = key::BodyHash(u64::from(body));
+                let request = ledger::Request { body, rank: rank::Rank::Urgent, deadline_ms };
+                self.request(key, process, request)?;
+            }
+            Step::Seal { key, process } => {
+                let (key, process) = self.choose(key, process);
+                let cause = caller_api::ErrorCode::NotReady;
+                let ledger = &mut self.processes[process].1;
+                let key_value = &self.truths[key].key;
+                let verdict = ledger.seal(self.now_ms, key_value, rank::Rank::Urgent, cause);
+                if let Some(verdict) = verdict {
+                    self.hear(key, &verdict)?;
+                }
+            }
+            Step::GiveUp { key, process } => {
+                let (key, process) = self.choose(key, process);
+                let cause = caller_api::ErrorCode::NoSearcher;
+                let ledger = &mut self.processes[process].1;
+                let verdict = ledger.give_up(self.now_ms, &self.truths[key].key, cause);
+                self.hear(key, &verdict)?;
+            }
+            Step::Send { key, process } => {
+                let (key, process) = self.choose(key, process);
+                self.send(key, process)?;
+            }
+            Step::End { attempt, outcome } => self.end(attempt, outcome)?,
+        }
+        for (_, ledger) in &self.processes {
+            if ledger.record_count() > RECORDS_MAX {
+                return Err("more records than allowed".to_owned());
+            }
+        }
+        Ok(())
+    }
+}
+
+fn holds(steps: Vec<Step>) -> quickcheck::TestResult {
+    let mut world = World::new();
+    for step in steps {
+        if let Err(broken) = world.step(step) {
+            return quickcheck::TestResult::error(broken);
+        }
+    }
+    quickcheck::TestResult::passed()
+}
+
+#[test]
+fn at_most_one_send_and_no_contradiction() {
+    let mut check = QuickCheck::new().rng(Gen::from_size_and_seed(200, 1)).tests(CASES);
+    check.quickcheck(holds as fn(Vec<Step>) -> quickcheck::TestResult);
+}
