--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod ids;
 pub mod instance;
 pub mod link;
+pub mod key;
+pub mod ledger;
 pub mod operator_api;
 pub mod owner;
 pub mod peer_api;
