--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The library holds everything; the daemon and the command-line client are thin shells.
 
 pub mod caller_api;
+pub mod check;
 pub mod events;
 pub mod ids;
 pub mod operator_api;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,6 +4,38 @@
 use crate::rank;
 use serde::{Deserialize, Serialize};
 
+/// The longest target of a rank.
+pub const TARGET_MAX_MS: u32 = 600_000;
+
+/// The most services of a deployment.
+pub const SERVICES_MAX: usize = 4_096;
+
+/// The most searchers of a service.
+pub const SEARCHERS_MAX: u16 = 10_000;
+
+/// The most slots of a searcher.
+pub const SLOTS_MAX: u16 = 1_024;
+
+/// The most connections of a searcher.
+pub const CONNECTIONS_MAX: u16 = 10_000;
+
+/// The most extra shard calls for hedges, in percent.
+pub const HEDGE_PERCENT_MAX: u8 = 50;
+
+/// The most hits that a service may allow a query.
+pub const LIMIT_MAX: u16 = 1_000;
+
+/// The most operations of a service.
+pub const OPERATIONS_MAX: usize = 64;
+
+/// Connections of one owner beyond its slots: probes, and replacements for silent connections.
+pub const CONNECTION_HEADROOM: u16 = 2;
+
+/// Connections that a searcher with `slots` should accept, for two owners during a failover.
+pub fn connections_wanted(slots: u16) -> u16 {
+    slots.saturating_add(CONNECTION_HEADROOM).saturating_mul(2)
+}
+
 /// What the operators declare.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
