--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod connection;
 pub mod daemon;
 pub mod entry;
+pub mod check;
 pub mod events;
 pub mod frame;
 pub mod holdings;
