Slots and admission, thin

Cause: the policy under load needs its decisions as state machines before any shell can use them. Slots (owner), Controller (owner), Gate (entry), estimators, and the switch Plain/Full. Ruled out: floor credit capped at one service time; credit that accrued until the next slot came free was lost, and a floor of 10 % got 8.3 % (tests/policy_slots.rs, floors_hold_in_any_flood, failed so). Now two service times are kept and the table holds. Conclusion: slots, verdicts, deadlines and floors hold under quickcheck; load not measured yet.

--- /dev/null
+++ b/src/admit.rs
@@ -0,0 +1,196 @@
+//! Admission: owners work out which share of each rank's queries their backend server can take, and
+//! entries admit that share.
+//!
+//! An entry admits a query by a hash of its id, so that all its calls share one fate and the shares of
+//! different backend servers nest. Each call carries the inverse of the share that was applied, so
+//! that an owner knows the load offered, not only what got through.
+
+use crate::estimate;
+use crate::ids;
+use crate::rank;
+use serde::{Deserialize, Serialize};
+
+/// The share of the slots' time that is planned for.
+const TARGET_UTILISATION: f64 = 0.95;
+/// How long service times are remembered.
+const SERVICE_TIME_CONSTANT_US: u64 = 2_000_000;
+/// How long a share is used as it was told.
+const FRACTION_FRESH_US: u64 = 200_000;
+/// How much a share grows for each second without news after that.
+const PROBE_PER_S: f64 = 0.1;
+/// The smallest share, so that some news always comes.
+const FRACTION_MIN: f64 = 0.001;
+
+/// The shares of each rank's queries to admit, in units of 1/65535.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fractions(pub [u16; rank::RANK_COUNT]);
+
+impl Default for Fractions {
+    fn default() -> Self {
+        Self([u16::MAX; rank::RANK_COUNT])
+    }
+}
+
+impl Fractions {
+    /// The share of the rank, from 0 to 1.
+    pub fn share(&self, rank: rank::Rank) -> f64 {
+        f64::from(self.0[rank.index()]) / f64::from(u16::MAX)
+    }
+}
+
+/// The owner's side: one for each backend server.
+#[derive(Clone, Debug)]
+pub struct Controller {
+    floors: [f64; rank::RANK_COUNT],
+    offered: [estimate::Rate; rank::RANK_COUNT],
+    service: [estimate::DecayingMean; rank::RANK_COUNT],
+    service_guess_us: f64,
+}
+
+impl Controller {
+    /// A controller that has seen nothing. `service_us` is assumed until a service time is seen.
+    pub fn new(now_us: u64, floors_percent: [u8; rank::RANK_COUNT], service_us: u64) -> Self {
+        Self {
+            floors: floors_percent.map(|percent| f64::from(percent) / 100.0),
+            offered: [estimate::Rate::new(now_us); rank::RANK_COUNT],
+            service: [estimate::DecayingMean::new(SERVICE_TIME_CONSTANT_US); rank::RANK_COUNT],
+            service_guess_us: service_us as f64,
+        }
+    }
+
+    /// Counts a call that was received, whatever becomes of it. `weight` is what the entry sent along.
+    pub fn offered(&mut self, now_us: u64, rank: rank::Rank, weight: f32) {
+        self.offered[rank.index()].record(now_us, f64::from(weight).max(1.0));
+    }
+
+    /// Counts a call that was answered after `service_us` in its slot.
+    pub fn answered(&mut self, now_us: u64, rank: rank::Rank, service_us: u64) {
+        self.service[rank.index()].record(now_us, service_us as f64);
+    }
+
+    /// The shares to admit while `slots` can be used. To be sent with every reply.
+    pub fn fractions(&mut self, now_us: u64, slots: usize) -> Fractions {
+        let capacity = slots as f64 * TARGET_UTILISATION;
+        let offered = self.offered_load(now_us);
+        let granted = share_out(capacity, &self.floors, &offered);
+        let mut fractions = Fractions::default();
+        for index in 0..rank::RANK_COUNT {
+            if granted[index] >= offered[index] {
+                continue;
+            }
+            let share = (granted[index] / offered[index]).max(FRACTION_MIN);
+            fractions.0[index] = (share * f64::from(u16::MAX)) as u16;
+        }
+        fractions
+    }
+
+    /// The slots that each rank would keep busy if all of it were admitted.
+    fn offered_load(&mut self, now_us: u64) -> [f64; rank::RANK_COUNT] {
+        let mut load = [0.0; rank::RANK_COUNT];
+        for (index, load) in load.iter_mut().enumerate() {
+            *load = self.offered[index].per_us(now_us) * self.service_us(index);
+        }
+        load
+    }
+
+    fn service_us(&self, index: usize) -> f64 {
+        if let Some(mean_us) = self.service[index].mean() {
+            return mean_us;
+        }
+        let known = self.service.iter().find_map(|service| service.mean());
+        known.unwrap_or(self.service_guess_us)
+    }
+}
+
+/// Shares `capacity` out: to each rank its floor as far as it asks, then the rest by urgency.
+fn share_out(
+    capacity: f64,
+    floors: &[f64; rank::RANK_COUNT],
+    offered: &[f64; rank::RANK_COUNT],
+) -> [f64; rank::RANK_COUNT] {
+    let mut granted = [0.0; rank::RANK_COUNT];
+    let mut rest = capacity;
+    for index in 0..rank::RANK_COUNT {
+        granted[index] = offered[index].min(floors[index] * capacity).min(rest);
+        rest -= granted[index];
+    }
+    for index in 0..rank::RANK_COUNT {
+        let more = (offered[index] - granted[index]).min(rest);
+        granted[index] += more;
+        rest -= more;
+    }
+    granted
+}
+
+/// Whether a query may go on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Admission {
+    /// It may; its calls carry the weight.
+    Admit {
+        /// The inverse of the share that was applied, at least 1.
+        weight: f32,
+    },
+    /// It may not; nothing was sent.
+    Refuse,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct News {
+    fractions: Fractions,
+    told_us: u64,
+}
+
+/// The entry's side: one for each service. Searchers are indexed as in the service's layout.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    news: Vec<News>,
+}
+
+impl Gate {
+    /// A gate that admits all until an owner says otherwise.
+    pub fn new(searcher_count: usize) -> Self {
+        Self { news: vec![News::default(); searcher_count] }
+    }
+
+    /// Takes the shares that came with a reply.
+    pub fn learn(&mut self, now_us: u64, searcher: u16, fractions: Fractions) {
+        let Some(news) = self.news.get_mut(usize::from(searcher)) else {
+            return;
+        };
+        *news = News { fractions, told_us: now_us };
+    }
+
+    /// The share of `rank` that `searcher` can take.
+    pub fn share(&self, now_us: u64, searcher: u16, rank: rank::Rank) -> f64 {
+        let Some(news) = self.news.get(usize::from(searcher)) else {
+            return 1.0;
+        };
+        let stale_us = now_us.saturating_sub(news.told_us).saturating_sub(FRACTION_FRESH_US);
+        let grown = news.fractions.share(rank) + PROBE_PER_S * stale_us as f64 / 1e6;
+        grown.min(1.0)
+    }
+
+    /// Decides on a query that needs all of `searchers`.
+    pub fn decide(
+        &self,
+        now_us: u64,
+        query: ids::QueryId,
+        rank: rank::Rank,
+        searchers: &[u16],
+    ) -> Admission {
+        let mut share = 1.0_f64;
+        for searcher in searchers {
+            share = share.min(self.share(now_us, *searcher, rank));
+        }
+        if place(query) >= share {
+            return Admission::Refuse;
+        }
+        Admission::Admit { weight: (1.0 / share) as f32 }
+    }
+}
+
+/// The place of a query among all queries, from 0 to below 1: the same on every instance.
+pub fn place(query: ids::QueryId) -> f64 {
+    let hash = xxhash_rust::xxh3::xxh3_64(&query.0.to_le_bytes());
+    (hash >> 11) as f64 / (1_u64 << 53) as f64
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,12 +2,16 @@
 //!
 //! The library holds everything; the daemon and the command-line client are thin shells.
 
+pub mod admit;
 pub mod caller_api;
+pub mod estimate;
 pub mod events;
 pub mod ids;
 pub mod operator_api;
 pub mod platform_api;
+pub mod policy;
 pub mod rank;
 pub mod searcher_api;
 pub mod settings;
+pub mod slots;
 pub mod snapshot;
--- /dev/null
+++ b/tests/policy_slots.rs
@@ -0,0 +1,196 @@
+//! The owner's side of the policy: slots, floors, refusals and shares.
+
+use quickcheck::quickcheck;
+use std::collections;
+use tarragondoor::{admit, ids, policy, rank, slots};
+
+const SERVICE_US: u64 = 10_000;
+
+fn limits(floors_percent: [u8; 3]) -> slots::Limits {
+    slots::Limits { slots: 3, queue_max: 8, floors_percent, service_us: SERVICE_US }
+}
+
+fn ticket(call: u64, rank: rank::Rank, deadline_us: u64) -> slots::Ticket {
+    slots::Ticket { call: ids::AttemptId(call), query: ids::QueryId(call), rank, deadline_us }
+}
+
+/// Where each call stands, kept apart from what is tested.
+#[derive(Default)]
+struct Ledger {
+    waiting: collections::BTreeMap<u64, u64>,
+    running: collections::BTreeSet<u64>,
+    ended: usize,
+}
+
+impl Ledger {
+    fn take(&mut self, now_us: u64, step: slots::Step) -> bool {
+        for call in step.start {
+            let Some(deadline_us) = self.waiting.remove(&call.0) else {
+                return false;
+            };
+            if deadline_us <= now_us || !self.running.insert(call.0) {
+                return false;
+            }
+        }
+        for refused in step.refuse {
+            if self.waiting.remove(&refused.call.0).is_none() {
+                return false;
+            }
+            self.ended += 1;
+        }
+        true
+    }
+}
+
+/// Drives slots by the bytes; true if slots, verdicts and deadlines held at each step.
+fn drive(policy: policy::Policy, inputs: Vec<(u8, u8)>) -> bool {
+    let mut tested = slots::Slots::new(policy, limits([20, 20, 10]));
+    let mut ledger = Ledger::default();
+    let mut now_us = 0;
+    let mut offered = 0;
+    for (kind, detail) in inputs {
+        now_us += u64::from(detail) * 100;
+        let held = u64::from(detail) % (offered as u64 + 1);
+        match kind % 6 {
+            0..=2 => {
+                let deadline_us = now_us + u64::from(kind) * 500;
+                let rank = rank::Rank::ALL[usize::from(detail) % 3];
+                let call = offered as u64;
+                offered += 1;
+                match tested.offer(now_us, ticket(call, rank, deadline_us)) {
+                    slots::Verdict::Start if deadline_us > now_us => {
+                        ledger.running.insert(call);
+                    }
+                    slots::Verdict::Queued => {
+                        ledger.waiting.insert(call, deadline_us);
+                    }
+                    slots::Verdict::Refused(_) => ledger.ended += 1,
+                    _ => return false,
+                }
+            }
+            3 => {
+                let Some(call) = ledger.running.pop_first() else {
+                    continue;
+                };
+                ledger.ended += 1;
+                let outcomes =
+                    [slots::Outcome::Answered, slots::Outcome::Refused, slots::Outcome::Failed];
+                let outcome = outcomes[usize::from(detail) % 3];
+                let step = tested.finish(now_us, ids::AttemptId(call), SERVICE_US, outcome);
+                if !ledger.take(now_us, step) {
+                    return false;
+                }
+            }
+            4 => {
+                let expected = if ledger.waiting.remove(&held).is_some() {
+                    ledger.ended += 1;
+                    slots::Cancelled::Dropped
+                } else if ledger.running.contains(&held) {
+                    slots::Cancelled::Running
+                } else {
+                    slots::Cancelled::Unknown
+                };
+                if tested.cancel(now_us, ids::AttemptId(held)) != expected {
+                    return false;
+                }
+            }
+            _ => {
+                let step = tested.tick(now_us);
+                if !ledger.take(now_us, step) {
+                    return false;
+                }
+            }
+        }
+        let counts = (tested.in_use(), tested.queued());
+        if counts != (ledger.running.len(), ledger.waiting.len()) || counts.0 > 3 {
+            return false;
+        }
+        if ledger.ended + counts.0 + counts.1 != offered {
+            return false;
+        }
+    }
+    while let Some(call) = ledger.running.pop_first() {
+        ledger.ended += 1;
+        let outcome = slots::Outcome::Answered;
+        let step = tested.finish(now_us, ids::AttemptId(call), SERVICE_US, outcome);
+        if !ledger.take(now_us, step) {
+            return false;
+        }
+    }
+    ledger.ended == offered
+}
+
+quickcheck! {
+    fn no_call_is_lost_and_slots_are_never_exceeded(inputs: Vec<(u8, u8)>) -> bool {
+        drive(policy::Policy::Full, inputs)
+    }
+
+    fn the_plain_policy_loses_no_call_either(inputs: Vec<(u8, u8)>) -> bool {
+        drive(policy::Policy::Plain, inputs)
+    }
+
+    fn the_gate_gives_the_same_verdict_everywhere(query: u64, shares: Vec<u16>) -> bool {
+        let query = ids::QueryId(query);
+        let searchers: Vec<u16> = (0..shares.len() as u16).collect();
+        let mut gate = admit::Gate::new(shares.len());
+        let mut all = true;
+        for (searcher, share) in shares.iter().enumerate() {
+            let fractions = admit::Fractions([*share; 3]);
+            gate.learn(0, searcher as u16, fractions);
+            all &= admit::place(query) < fractions.share(rank::Rank::Standard);
+        }
+        let admission = gate.decide(0, query, rank::Rank::Standard, &searchers);
+        all == matches!(admission, admit::Admission::Admit { .. })
+    }
+}
+
+/// The share of the slots' time that each rank got while all that `asks` kept their queues full.
+fn shares(floors_percent: [u8; 3], asks: [bool; 3]) -> [f64; 3] {
+    let mut tested = slots::Slots::new(policy::Policy::Full, limits(floors_percent));
+    let mut running: Vec<u64> = Vec::new();
+    let mut served = [0_u32; 3];
+    let mut call = 0;
+    for round in 0..3000_u64 {
+        let now_us = round * SERVICE_US / 3;
+        if running.len() == 3 {
+            let done = ids::AttemptId(running.remove(0));
+            let step = tested.finish(now_us, done, SERVICE_US, slots::Outcome::Answered);
+            running.extend(step.start.iter().map(|call| call.0));
+        }
+        for rank in rank::Rank::ALL {
+            for _ in 0..if asks[rank.index()] { 2 } else { 0 } {
+                call += 3;
+                let call = call + rank.index() as u64;
+                let offered = ticket(call, rank, now_us + 1_000_000_000);
+                if tested.offer(now_us, offered) == slots::Verdict::Start {
+                    running.push(call);
+                }
+            }
+        }
+        if let Some(started) = running.last() {
+            served[(started % 3) as usize] += 1;
+        }
+    }
+    served.map(|count| f64::from(count) / 3000.0)
+}
+
+#[test]
+fn floors_hold_in_any_flood() {
+    let all = [true; 3];
+    let table = [
+        ([20, 30, 10], all, [0.58, 0.29, 0.09]),
+        ([0, 0, 0], all, [0.98, 0.0, 0.0]),
+        ([50, 50, 0], all, [0.48, 0.48, 0.0]),
+        ([10, 40, 40], all, [0.18, 0.38, 0.38]),
+        ([20, 30, 10], [false, true, true], [0.0, 0.88, 0.09]),
+        ([20, 30, 10], [true, false, true], [0.88, 0.0, 0.09]),
+        ([20, 30, 10], [false, false, true], [0.0, 0.0, 0.98]),
+    ];
+    for (floors_percent, asks, least) in table {
+        let got = shares(floors_percent, asks);
+        for index in 0..3 {
+            let enough = got[index] >= least[index];
+            assert!(enough, "floors {floors_percent:?}, asks {asks:?}: got {got:?}");
+        }
+    }
+}
