--- a/src/entry.rs
+++ b/src/entry.rs
@@ -3,6 +3,7 @@
 use crate::attempts;
 use crate::caller_api;
 use crate::holdings;
+use crate::home;
 use crate::ids;
 use crate::link;
 use crate::owner;
@@ -43,6 +44,8 @@
     pub attempts: sync::Arc<attempts::Attempts>,
     /// The links to the other instances.
     pub links: sync::Arc<link::Links>,
+    /// The non-idempotent requests that this boot is the home of.
+    pub home: home::Home,
     /// The searchers owned.
     pub owner: sync::Arc<owner::Owner>,
     /// When the process started.
@@ -277,7 +280,7 @@
         };
         if batch.owner == self.node.me {
             let reply_to = owner::ReplyTo::Here(self.node.attempts.clone());
-            self.node.owner.search(search, &reply_to);
+            self.node.owner.search(&search, &reply_to);
             return;
         }
         let calls = search.calls.clone();
@@ -365,6 +368,7 @@
                 boot: peer.boot,
             });
         }
-        caller_api::AddressesReply { ttl_ms, addresses }
+        let issued_s = home::unix_ms() / 1_000;
+        caller_api::AddressesReply { ttl_ms, issued_s, addresses }
     }
 }
--- a/src/home.rs
+++ b/src/home.rs
@@ -109,7 +109,9 @@
     ) -> Result<caller_api::RunAnswer, caller_api::ErrorReply> {
         let key = self.check_run(&call)?;
         match self.take(&key, &call)? {
-            Step::Forward(home, boot) => Ok(self.ask_home(&key, home, boot, call, traceparent).await),
+            Step::Forward(home, boot) => {
+                Ok(self.ask_home(&key, home, boot, call, traceparent).await)
+            }
             step => Ok(self.finish(&key, step, call, traceparent).await),
         }
     }
--- a/src/http.rs
+++ b/src/http.rs
@@ -31,6 +31,7 @@
     route::Router::new()
         .route("/v1/addresses", route::get(addresses))
         .route("/v1/search", route::post(search))
+        .route("/v1/run", route::post(run))
         .layer(utils::Extension(app))
 }
 
@@ -46,6 +47,18 @@
     }
 }
 
+async fn run(utils::Extension(app): Shared, request: request::Request) -> response::Response {
+    let traceparent = traceparent(&request);
+    let call = match body(request).await {
+        Ok(call) => call,
+        Err(error) => return refused(&error),
+    };
+    match app.node.run(call, traceparent).await {
+        Ok(answer) => json(http::StatusCode::OK, &answer),
+        Err(error) => refused(&error),
+    }
+}
+
 async fn addresses(utils::Extension(app): Shared, request: request::Request) -> response::Response {
     let query = request.uri().query().unwrap_or_default();
     let asked = match place(query) {
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -4,6 +4,7 @@
 use crate::config;
 use crate::entry;
 use crate::events::Event;
+use crate::home;
 use crate::http;
 use crate::ids;
 use crate::link;
@@ -12,6 +13,9 @@
 use crate::peers;
 use crate::platform;
 use crate::platform_api;
+use crate::policy;
+use crate::rank;
+use crate::searcher;
 use crate::serve;
 use crate::settings;
 use error_stack::ResultExt as _;
@@ -58,6 +62,7 @@
         holdings: arc_swap::ArcSwap::default(),
         attempts,
         links: sync::Arc::new(links),
+        home: home::Home::new(me.clone(), boot),
         owner: sync::Arc::new(owner::Owner::new(me)),
         started: time::Instant::now(),
     });
@@ -66,6 +71,7 @@
     tokio::spawn(read_list(node.clone(), config.platform));
     tokio::spawn(follow(node.clone(), serve));
     tokio::spawn(probe(node.clone()));
+    tokio::spawn(tick(node.clone()));
     let app = sync::Arc::new(http::App {
         node: node.clone(),
         token: secrets.token,
@@ -125,18 +131,34 @@
         let peers = node.world.peers.load_full();
         let directory = node.world.directory.load_full();
         let settings = node.settings.load_full();
-        node.owner.follow(&peers, &directory, |service| {
-            let policy = settings.service(service)?;
-            Some(owner::Limits {
-                slots: policy.slots_per_searcher,
-                connections: policy.connections_per_searcher,
-            })
-        });
+        node.owner.follow(&peers, &directory, |service| limits(&settings, service));
         node.links.follow(&peers, &serve);
         tokio::time::sleep(FOLLOW_PERIOD).await;
     }
 }
 
+fn limits(settings: &settings::Settings, service: &ids::ServiceName) -> Option<searcher::Limits> {
+    let policy = settings.service(service)?;
+    let mut floors_percent = [0; rank::RANK_COUNT];
+    for rank in rank::Rank::ALL {
+        let floor = settings.rank(rank).map_or(0, |policy| policy.floor_percent);
+        floors_percent[rank.index()] = floor;
+    }
+    Some(searcher::Limits {
+        slots: policy.slots_per_searcher,
+        connections: policy.connections_per_searcher,
+        floors_percent,
+        policy: policy::Policy::Full,
+    })
+}
+
+async fn tick(node: sync::Arc<entry::Node>) {
+    loop {
+        node.owner.tick();
+        tokio::time::sleep(owner::TICK_PERIOD).await;
+    }
+}
+
 async fn probe(node: sync::Arc<entry::Node>) {
     loop {
         let holdings = node.holdings.load_full();
--- a/src/peer_api.rs
+++ b/src/peer_api.rs
@@ -3,6 +3,7 @@
 //! An instance dials every other instance. Over the link that it dialled it sends searches and
 //! requests and gets their outcomes and the peer's reports.
 
+use crate::admit;
 use crate::caller_api;
 use crate::ids;
 use crate::rank;
@@ -113,7 +114,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct OwnerLoad {
     /// The share of each rank's queries to admit.
-    pub fractions: [f32; rank::RANK_COUNT],
+    pub fractions: admit::Fractions,
     /// Calls at the searcher.
     pub in_flight: u16,
     /// Calls that wait for a slot.
--- /dev/null
+++ b/src/searcher.rs
@@ -0,0 +1,463 @@
+//! One searcher at its owner: its slots, connections, health and holdings.
+
+use crate::admit;
+use crate::connection;
+use crate::ids;
+use crate::peer_api;
+use crate::peers;
+use crate::policy;
+use crate::rank;
+use crate::searcher_api;
+use crate::slots;
+use crate::snapshot;
+use std::sync;
+use std::time;
+
+/// How long a status may take.
+const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+
+/// After how many failed probes in a row a searcher counts as unreachable.
+const PROBE_FAILURES_MAX: u32 = 2;
+
+/// How long a searcher that has said to be leaving gets no work, whatever its status says: the status
+/// may lag.
+const DRAINING_HOLD: time::Duration = time::Duration::from_secs(10);
+
+/// The service time assumed before the first one is seen, in microseconds.
+const SERVICE_GUESS_US: u64 = 5_000;
+
+/// How many calls of one rank may wait for each slot.
+const QUEUE_PER_SLOT: u16 = 16;
+
+/// The limits of one searcher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Requests at a time.
+    pub slots: u16,
+    /// Connections at a time.
+    pub connections: u16,
+    /// The share of the slots' time that each rank gets when it asks for it.
+    pub floors_percent: [u8; rank::RANK_COUNT],
+    /// Which policy runs.
+    pub policy: policy::Policy,
+}
+
+#[derive(Debug)]
+struct Observed {
+    health: peer_api::Health,
+    holdings: Vec<snapshot::Holding>,
+    failures: u32,
+    draining_until: Option<tokio::time::Instant>,
+    reported: Option<peer_api::SearcherReport>,
+}
+
+struct Waiting {
+    attempt: ids::AttemptId,
+    go: tokio::sync::oneshot::Sender<Result<(), peer_api::Failure>>,
+}
+
+struct Queue {
+    slots: slots::Slots,
+    admission: admit::Controller,
+    waiting: Vec<Waiting>,
+}
+
+/// A call that wants a slot.
+#[derive(Clone, Copy, Debug)]
+pub struct Want {
+    /// The attempt.
+    pub attempt: ids::AttemptId,
+    /// The query it belongs to.
+    pub query: ids::QueryId,
+    /// The urgency.
+    pub rank: rank::Rank,
+    /// How many offered calls it stands for.
+    pub weight: f32,
+    /// When the answer is of no use any more.
+    pub deadline: tokio::time::Instant,
+}
+
+/// One searcher at its owner.
+pub struct Searcher {
+    listed: peers::ListedSearcher,
+    limits: Limits,
+    connections: connection::Connections,
+    queue: sync::Mutex<Queue>,
+    observed: sync::Mutex<Observed>,
+    started: time::Instant,
+}
+
+/// A call's place at a searcher: first in the queue, then in a slot. It is given back when dropped.
+struct Held<'a> {
+    searcher: &'a Searcher,
+    want: Want,
+    started_us: u64,
+    outcome: slots::Outcome,
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.searcher.give_back(self.want, self.started_us, self.outcome);
+    }
+}
+
+impl Searcher {
+    /// A searcher of which nothing is known but the platform's word and its limits.
+    pub fn new(listed: peers::ListedSearcher, limits: Limits) -> Self {
+        let slot_limits = slots::Limits {
+            slots: limits.slots,
+            queue_max: limits.slots.saturating_mul(QUEUE_PER_SLOT),
+            floors_percent: limits.floors_percent,
+            service_us: SERVICE_GUESS_US,
+        };
+        let queue = Queue {
+            slots: slots::Slots::new(limits.policy, slot_limits),
+            admission: admit::Controller::new(0, limits.floors_percent, SERVICE_GUESS_US),
+            waiting: Vec::new(),
+        };
+        let observed = Observed {
+            health: peer_api::Health::Starting,
+            holdings: Vec::new(),
+            failures: 0,
+            draining_until: None,
+            reported: None,
+        };
+        Self {
+            connections: connection::Connections::new(
+                listed.address,
+                usize::from(limits.connections),
+            ),
+            listed,
+            limits,
+            queue: sync::Mutex::new(queue),
+            observed: sync::Mutex::new(observed),
+            started: time::Instant::now(),
+        }
+    }
+
+    /// The platform's word on it.
+    pub fn listed(&self) -> &peers::ListedSearcher {
+        &self.listed
+    }
+
+    /// Its limits.
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// How many connections to it are open.
+    pub fn open_connections(&self) -> usize {
+        self.connections.open()
+    }
+
+    /// The last report on it.
+    pub fn report(&self) -> Option<peer_api::SearcherReport> {
+        lock(&self.observed).reported.clone()
+    }
+
+    /// Its load, as its owner sees it.
+    pub fn load(&self) -> peer_api::OwnerLoad {
+        let now_us = self.now_us();
+        let mut queue = lock(&self.queue);
+        let usable = queue.slots.usable_slots();
+        peer_api::OwnerLoad {
+            fractions: queue.admission.fractions(now_us, usable),
+            in_flight: queue.slots.in_use() as u16,
+            queued: queue.slots.queued() as u16,
+            service_time_us: queue.slots.service_us(rank::Rank::Standard) as u32,
+        }
+    }
+
+    /// Refuses the calls that wait in vain.
+    pub fn tick(&self) {
+        let now_us = self.now_us();
+        let mut queue = lock(&self.queue);
+        if queue.waiting.is_empty() {
+            return;
+        }
+        let step = queue.slots.tick(now_us);
+        queue.carry_out(step);
+    }
+
+    /// Has shards searched once a slot is free.
+    pub async fn search(
+        &self,
+        want: Want,
+        mut request: searcher_api::SearchRequest,
+        traceparent: compact_str::CompactString,
+    ) -> peer_api::ShardOutcome {
+        let failed = peer_api::ShardOutcome::Failed;
+        let mut held = match self.hold(want).await {
+            Ok(held) => held,
+            Err(failure) => return failed(failure),
+        };
+        let left = want.deadline.saturating_duration_since(tokio::time::Instant::now());
+        request.timeout_ms = left.as_millis() as u32;
+        let answer = match self.call("/search", &request, traceparent, left).await {
+            Ok(answer) => answer,
+            Err(failure) => {
+                held.outcome = slot_outcome(failure);
+                return failed(failure);
+            }
+        };
+        let Ok(reply) = serde_json::from_slice::<searcher_api::SearchReply>(&answer.body) else {
+            return failed(peer_api::Failure::Lost);
+        };
+        if reply.attempt != request.attempt {
+            return failed(peer_api::Failure::Lost);
+        }
+        held.outcome = slots::Outcome::Answered;
+        if reply.draining {
+            self.note_draining();
+        }
+        peer_api::ShardOutcome::Answered { snapshot: reply.snapshot, shards: reply.shards }
+    }
+
+    /// Has a non-idempotent request run, at most once, once a slot is free.
+    pub async fn run(&self, want: Want, run: peer_api::OwnerRun) -> peer_api::RunOutcome {
+        let failed = peer_api::RunOutcome::Failed;
+        let mut held = match self.hold(want).await {
+            Ok(held) => held,
+            Err(failure) => return failed(failure),
+        };
+        let left = want.deadline.saturating_duration_since(tokio::time::Instant::now());
+        if left.is_zero() || crate::home::unix_ms() >= run.expires_unix_ms {
+            return failed(peer_api::Failure::DeadlinePast);
+        }
+        let request = searcher_api::RunRequest {
+            attempt: run.attempt,
+            service: run.service,
+            operation: run.operation,
+            subject: run.subject,
+            rank: run.rank,
+            timeout_ms: left.as_millis() as u32,
+        };
+        let answer = match self.call("/run", &request, run.traceparent, left).await {
+            Ok(answer) => answer,
+            Err(failure) => {
+                held.outcome = slot_outcome(failure);
+                return failed(failure);
+            }
+        };
+        match serde_json::from_slice::<searcher_api::RunReply>(&answer.body) {
+            Ok(reply) if reply.attempt == request.attempt => {
+                held.outcome = slots::Outcome::Answered;
+                if reply.draining {
+                    self.note_draining();
+                }
+                peer_api::RunOutcome::Ran(reply.result)
+            }
+            _ => failed(peer_api::Failure::Lost),
+        }
+    }
+
+    /// Asks for the status and takes it in. Returns the new report if something has changed.
+    pub async fn probe(&self, known_observation: u64) -> Option<peer_api::SearcherReport> {
+        let status = self.status().await;
+        self.observe(status, known_observation)
+    }
+
+    fn now_us(&self) -> u64 {
+        self.started.elapsed().as_micros() as u64
+    }
+
+    /// Waits for a slot.
+    async fn hold(&self, want: Want) -> Result<Held<'_>, peer_api::Failure> {
+        if lock(&self.observed).health == peer_api::Health::Draining {
+            return Err(peer_api::Failure::Refused(searcher_api::Refusal::Draining));
+        }
+        let (mut held, receiver) = self.offer(want)?;
+        if let Some(receiver) = receiver {
+            match receiver.await {
+                Ok(Ok(())) => held.started_us = self.now_us(),
+                Ok(Err(failure)) => return Err(failure),
+                Err(_) => return Err(peer_api::Failure::Cancelled),
+            }
+        }
+        Ok(held)
+    }
+
+    #[allow(clippy::type_complexity)]
+    fn offer(
+        &self,
+        want: Want,
+    ) -> Result<
+        (Held<'_>, Option<tokio::sync::oneshot::Receiver<Result<(), peer_api::Failure>>>),
+        peer_api::Failure,
+    > {
+        let now_us = self.now_us();
+        let left = want.deadline.saturating_duration_since(tokio::time::Instant::now());
+        let ticket = slots::Ticket {
+            call: want.attempt,
+            query: want.query,
+            rank: want.rank,
+            deadline_us: now_us + left.as_micros() as u64,
+        };
+        let mut queue = lock(&self.queue);
+        queue.admission.offered(now_us, want.rank, want.weight);
+        let verdict = queue.slots.offer(now_us, ticket);
+        let outcome = slots::Outcome::Failed;
+        let held = || Held { searcher: self, want, started_us: now_us, outcome };
+        match verdict {
+            slots::Verdict::Start => Ok((held(), None)),
+            slots::Verdict::Queued => {
+                let (go, receiver) = tokio::sync::oneshot::channel();
+                queue.waiting.push(Waiting { attempt: want.attempt, go });
+                Ok((held(), Some(receiver)))
+            }
+            slots::Verdict::Refused(cause) => Err(refusal(cause)),
+            slots::Verdict::Duplicate => Err(peer_api::Failure::Cancelled),
+        }
+    }
+
+    fn give_back(&self, want: Want, started_us: u64, outcome: slots::Outcome) {
+        let now_us = self.now_us();
+        let mut queue = lock(&self.queue);
+        queue.waiting.retain(|waiting| waiting.attempt != want.attempt);
+        match queue.slots.cancel(now_us, want.attempt) {
+            slots::Cancelled::Dropped | slots::Cancelled::Unknown => {}
+            slots::Cancelled::Running => {
+                let service_us = now_us.saturating_sub(started_us);
+                if outcome == slots::Outcome::Answered {
+                    queue.admission.answered(now_us, want.rank, service_us);
+                }
+                let step = queue.slots.finish(now_us, want.attempt, service_us, outcome);
+                queue.carry_out(step);
+            }
+        }
+    }
+
+    /// Sends a request; an answer other than 200 is a failure.
+    async fn call(
+        &self,
+        path: &str,
+        request: &impl serde::Serialize,
+        traceparent: compact_str::CompactString,
+        timeout: time::Duration,
+    ) -> Result<connection::Answer, peer_api::Failure> {
+        let mut call =
+            connection::Call::json(http::Method::POST, path, request).map_err(failure)?;
+        call.traceparent = traceparent;
+        let answer = self.connections.send(call, timeout).await.map_err(failure)?;
+        match answer.status {
+            http::StatusCode::OK => Ok(answer),
+            http::StatusCode::SERVICE_UNAVAILABLE => {
+                match serde_json::from_slice::<searcher_api::RefusedReply>(&answer.body) {
+                    Ok(refused) => {
+                        if refused.refusal == searcher_api::Refusal::Draining {
+                            self.note_draining();
+                        }
+                        Err(peer_api::Failure::Refused(refused.refusal))
+                    }
+                    Err(_) => Err(peer_api::Failure::Lost),
+                }
+            }
+            _ => Err(peer_api::Failure::Lost),
+        }
+    }
+
+    async fn status(&self) -> Option<searcher_api::StatusReply> {
+        let call = connection::Call::get("/status");
+        let answer = self.connections.send(call, PROBE_TIMEOUT).await.ok()?;
+        serde_json::from_slice(&answer.body).ok()
+    }
+
+    fn note_draining(&self) {
+        let mut observed = lock(&self.observed);
+        observed.health = peer_api::Health::Draining;
+        observed.draining_until = Some(tokio::time::Instant::now() + DRAINING_HOLD);
+    }
+
+    fn observe(
+        &self,
+        status: Option<searcher_api::StatusReply>,
+        known_observation: u64,
+    ) -> Option<peer_api::SearcherReport> {
+        let mut observed = lock(&self.observed);
+        let held = observed.draining_until.is_some_and(|until| tokio::time::Instant::now() < until);
+        match status {
+            None => {
+                observed.failures += 1;
+                if observed.failures >= PROBE_FAILURES_MAX {
+                    observed.health = peer_api::Health::Unreachable;
+                    observed.draining_until = None;
+                }
+            }
+            Some(status) => {
+                observed.failures = 0;
+                observed.holdings = status.holdings;
+                observed.health = match status.state {
+                    _ if held || self.listed.leaving => peer_api::Health::Draining,
+                    searcher_api::SearcherState::Draining => peer_api::Health::Draining,
+                    searcher_api::SearcherState::Starting => peer_api::Health::Starting,
+                    searcher_api::SearcherState::Ready => peer_api::Health::Ready,
+                };
+            }
+        }
+        let unchanged = observed.reported.as_ref().is_some_and(|reported| {
+            reported.observation >= known_observation
+                && reported.health == observed.health
+                && reported.holdings == observed.holdings
+        });
+        if unchanged {
+            return None;
+        }
+        let report = peer_api::SearcherReport {
+            searcher: self.listed.searcher.clone(),
+            service: self.listed.service.clone(),
+            observation: known_observation + 1,
+            health: observed.health,
+            holdings: observed.holdings.clone(),
+        };
+        observed.reported = Some(report.clone());
+        Some(report)
+    }
+}
+
+impl Queue {
+    /// Tells waiting calls what the slots have decided.
+    fn carry_out(&mut self, step: slots::Step) {
+        for call in step.start {
+            self.tell(call, Ok(()));
+        }
+        for refused in step.refuse {
+            self.tell(refused.call, Err(refusal(refused.cause)));
+        }
+    }
+
+    /// A call whose task is gone gives its slot back by itself: its place is dropped with the task.
+    fn tell(&mut self, call: ids::AttemptId, go: Result<(), peer_api::Failure>) {
+        let Some(index) = self.waiting.iter().position(|waiting| waiting.attempt == call) else {
+            return;
+        };
+        let waiting = self.waiting.swap_remove(index);
+        if waiting.go.send(go).is_err() {
+            tracing::trace!(%call, "call was given up while it waited");
+        }
+    }
+}
+
+fn refusal(cause: slots::Cause) -> peer_api::Failure {
+    match cause {
+        slots::Cause::QueueFull | slots::Cause::TooLate => peer_api::Failure::Overloaded,
+        slots::Cause::Expired => peer_api::Failure::DeadlinePast,
+    }
+}
+
+fn slot_outcome(failure: peer_api::Failure) -> slots::Outcome {
+    match failure {
+        peer_api::Failure::Refused(searcher_api::Refusal::Shed) => slots::Outcome::Refused,
+        _ => slots::Outcome::Failed,
+    }
+}
+
+fn failure(error: connection::CallError) -> peer_api::Failure {
+    match error {
+        connection::CallError::NotSent(_) => peer_api::Failure::NotSent,
+        connection::CallError::Lost(_) => peer_api::Failure::Lost,
+    }
+}
+
+fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,6 +1,5 @@
 //! What this instance does for the instances that have dialled it.
 
-use crate::caller_api;
 use crate::entry;
 use crate::ids;
 use crate::link;
@@ -18,7 +17,7 @@
     fn asked(&self, peer: &ids::InstanceName, frame: peer_api::Frame, sender: &link::FrameSender) {
         match frame {
             peer_api::Frame::Search(search) => {
-                self.node.owner.search(search, &owner::ReplyTo::Link(sender.clone()));
+                self.node.owner.search(&search, &owner::ReplyTo::Link(sender.clone()));
             }
             peer_api::Frame::Cancel(attempts) => self.node.owner.cancel(&attempts),
             peer_api::Frame::Request { id, request } => {
@@ -48,13 +47,12 @@
     }
 }
 
-async fn answer(node: &entry::Node, request: peer_api::Request) -> peer_api::Reply {
+async fn answer(node: &sync::Arc<entry::Node>, request: peer_api::Request) -> peer_api::Reply {
     match request {
         peer_api::Request::OwnerRun(run) => peer_api::Reply::OwnerRun(node.owner.run(run).await),
-        peer_api::Request::HomeRun { .. } => peer_api::Reply::HomeRun(Err(entry::refuse(
-            caller_api::ErrorCode::Internal,
-            "not wired",
-        ))),
+        peer_api::Request::HomeRun { traceparent, call } => {
+            peer_api::Reply::HomeRun(node.run_as_home(call, traceparent).await)
+        }
         peer_api::Request::Settings(_) => peer_api::Reply::Settings(Vec::new()),
     }
 }
