Stand-ins, thin

Cause: the daemon and its tests need a platform and backend servers to talk to, with faults that can be switched while they run.

HTTP is served with hyper instead of volo-http's server: that one gives a handler no way to close its connection without an answer (lost replies), bounds no connections and stops only by a signal. Ruled out: volo-http with an own `Incoming` (its connection type is a closed enum, so neither silent connections nor the end of a connection can be seen), and a relay before it (two more copies of each byte). Calls go out with volo-http's client.

New dependencies of the stand-in crate only, all in the lock file before: bytes, http-body-util, hyper, hyper-util, serde_urlencoded.

--- a/standin/src/bin/standin.rs
+++ b/standin/src/bin/standin.rs
@@ -1,3 +1,99 @@
-//! A thin shell.
+//! Runs a stand-in: `standin platform` or `standin searchers`.
 
-fn main() {}
+use error_stack::{Report, ResultExt as _};
+use lexopt::ValueExt as _;
+use standin::{fleet, layout, platform};
+use std::fs;
+use std::net;
+use std::path;
+
+const USAGE: &str = "\
+usage: standin platform --listen ADDR [--faults JSON]
+       standin searchers --fleet FILE [--platform ADDR]";
+
+#[derive(Debug, thiserror::Error)]
+enum MainError {
+    #[error("bad command line\n{USAGE}")]
+    Usage,
+    #[error("can't start the platform")]
+    Platform,
+    #[error("can't start the backend servers")]
+    Searchers,
+}
+
+#[derive(Default)]
+struct Options {
+    command: Option<String>,
+    listen: Option<net::SocketAddr>,
+    faults: platform::Faults,
+    platform: Option<net::SocketAddr>,
+    fleet: Option<path::PathBuf>,
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Report<MainError>> {
+    tracing_subscriber::fmt().with_writer(std::io::stderr).init();
+    let options = parse().change_context(MainError::Usage)?;
+    match options.command.as_deref() {
+        Some("platform") => run_platform(&options).await,
+        Some("searchers") => run_searchers(&options).await,
+        _ => Err(Report::new(MainError::Usage)),
+    }
+}
+
+fn parse() -> Result<Options, lexopt::Error> {
+    let mut options = Options::default();
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            lexopt::Arg::Long("listen") => options.listen = Some(parser.value()?.parse()?),
+            lexopt::Arg::Long("platform") => options.platform = Some(parser.value()?.parse()?),
+            lexopt::Arg::Long("fleet") => options.fleet = Some(parser.value()?.into()),
+            lexopt::Arg::Long("faults") => {
+                options.faults = parser.value()?.parse_with(|text| serde_json::from_str(text))?;
+            }
+            lexopt::Arg::Value(value) if options.command.is_none() => {
+                options.command = Some(value.string()?);
+            }
+            _ => return Err(argument.unexpected()),
+        }
+    }
+    Ok(options)
+}
+
+async fn run_platform(options: &Options) -> Result<(), Report<MainError>> {
+    let Some(listen) = options.listen else { return Err(Report::new(MainError::Usage)) };
+    let started = platform::Platform::start(listen, options.faults).await;
+    let platform = started.change_context(MainError::Platform)?;
+    println!("platform {}", platform.address());
+    wait_for_stop().await;
+    Ok(())
+}
+
+async fn run_searchers(options: &Options) -> Result<(), Report<MainError>> {
+    let Some(file) = &options.fleet else { return Err(Report::new(MainError::Usage)) };
+    let text = fs::read_to_string(file).change_context(MainError::Searchers)?;
+    let config = layout::FleetConfig::parse(&text).change_context(MainError::Searchers)?;
+    let started = fleet::start(&config, options.platform).await;
+    let fleet = started.change_context(MainError::Searchers)?;
+    for member in fleet.members() {
+        println!("searcher {} {}", member.searcher.config().searcher, member.searcher.address());
+    }
+    println!("ready");
+    wait_for_stop().await;
+    Ok(())
+}
+
+async fn wait_for_stop() {
+    let interrupt = tokio::signal::unix::SignalKind::interrupt();
+    let terminate = tokio::signal::unix::SignalKind::terminate();
+    let (Ok(mut interrupt), Ok(mut terminate)) =
+        (tokio::signal::unix::signal(interrupt), tokio::signal::unix::signal(terminate))
+    else {
+        return;
+    };
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+    }
+}
--- /dev/null
+++ b/standin/src/layout.rs
@@ -0,0 +1,175 @@
+//! A deployment's backend servers: the fleet file, and which shards each of them holds.
+
+use compact_str::{CompactString, format_compact};
+use serde::{Deserialize, Serialize};
+use tarragondoor::ids;
+use tarragondoor::snapshot;
+
+/// A fleet file: JSON with comments.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetConfig {
+    /// The seed of all service times.
+    pub seed: u64,
+    /// The regions.
+    pub regions: Vec<Region>,
+    /// The services.
+    pub services: Vec<ServiceSpec>,
+}
+
+/// A region with its failure domains.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Region {
+    /// Its name.
+    pub region: ids::RegionName,
+    /// The failure domains.
+    pub failure_domains: Vec<ids::DomainName>,
+}
+
+/// One service, or several of a kind.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceSpec {
+    /// Its name; with `count` above 1, the names are `<service>-01` and so on.
+    pub service: ids::ServiceName,
+    /// How many services of this kind there are.
+    #[serde(default = "one")]
+    pub count: u16,
+    /// How many backend servers each service has.
+    pub searchers: u16,
+    /// How many shards the index has.
+    pub shards: u32,
+    /// How many backend servers hold each shard.
+    pub replicas: u16,
+    /// How many requests a backend server works on at a time.
+    pub slots: u16,
+    /// How many requests wait for a slot before a backend server sheds.
+    pub queue: u16,
+    /// How many connections a backend server accepts.
+    pub connections: u16,
+    /// How long a new connection takes before it works.
+    pub open_ms: u32,
+    /// The mean time that a request occupies a slot.
+    pub mean_us: u32,
+}
+
+fn one() -> u16 {
+    1
+}
+
+/// Why a fleet file was not accepted.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FleetConfigError {
+    /// It is not JSON with comments of the right shape.
+    #[error("{0}")]
+    Syntax(CompactString),
+    /// There is no failure domain.
+    #[error("there is no failure domain")]
+    NoDomain,
+    /// A service has no backend servers or no shards, or more replicas than backend servers.
+    #[error("service {0}: needs searchers, shards, and from 1 to `searchers` replicas")]
+    BadService(ids::ServiceName),
+    /// A name that is made up of others is too long.
+    #[error("{0}")]
+    BadName(#[from] ids::ParseIdError),
+}
+
+/// Where a backend server stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Site {
+    /// The region.
+    pub region: ids::RegionName,
+    /// The failure domain.
+    pub failure_domain: ids::DomainName,
+}
+
+impl FleetConfig {
+    /// Reads a fleet file.
+    pub fn parse(text: &str) -> Result<Self, FleetConfigError> {
+        let parsed = jsonc_parser::parse_to_serde_value::<Self>(text, &Default::default());
+        let config = parsed.map_err(|e| FleetConfigError::Syntax(format_compact!("{e}")))?;
+        config.check()?;
+        Ok(config)
+    }
+
+    fn check(&self) -> Result<(), FleetConfigError> {
+        if self.sites().is_empty() {
+            return Err(FleetConfigError::NoDomain);
+        }
+        for spec in &self.services {
+            let replicas_fit = (1..=spec.searchers).contains(&spec.replicas);
+            if spec.count == 0 || spec.shards == 0 || !replicas_fit {
+                return Err(FleetConfigError::BadService(spec.service.clone()));
+            }
+        }
+        Ok(())
+    }
+
+    /// All failure domains, in the file's order.
+    pub fn sites(&self) -> Vec<Site> {
+        let mut sites = Vec::new();
+        for region in &self.regions {
+            for failure_domain in &region.failure_domains {
+                let region = region.region.clone();
+                sites.push(Site { region, failure_domain: failure_domain.clone() });
+            }
+        }
+        sites
+    }
+}
+
+impl ServiceSpec {
+    /// The names of the services of this kind.
+    pub fn names(&self) -> Result<Vec<ids::ServiceName>, FleetConfigError> {
+        if self.count == 1 {
+            return Ok(vec![self.service.clone()]);
+        }
+        let mut names = Vec::new();
+        for number in 1..=self.count {
+            names.push(format!("{}-{number:02}", self.service).parse()?);
+        }
+        Ok(names)
+    }
+
+    /// What each backend server holds of a snapshot with `shard_count` shards.
+    ///
+    /// Backend server `i` stands in failure domain `i` modulo `domains`. Shards go round robin, from
+    /// a start that the shard map's version moves; replicas go to other failure domains while there
+    /// are any.
+    pub fn holdings(
+        &self,
+        domains: usize,
+        snapshot: snapshot::Snapshot,
+        shard_count: u32,
+    ) -> Vec<snapshot::Holding> {
+        let empty = snapshot::Holding { snapshot, shard_count, shards: Vec::new() };
+        let mut holdings = vec![empty; usize::from(self.searchers)];
+        for shard in 0..shard_count {
+            for holder in self.holders(domains, snapshot.map_version, shard) {
+                holdings[holder].shards.push(ids::ShardId(shard));
+            }
+        }
+        holdings
+    }
+
+    fn holders(&self, domains: usize, map_version: ids::MapVersion, shard: u32) -> Vec<usize> {
+        let searchers = usize::from(self.searchers);
+        let replicas = usize::from(self.replicas);
+        let start = (u64::from(shard) + map_version.0) % u64::from(self.searchers);
+        let order: Vec<usize> = (0..searchers).map(|i| (start as usize + i) % searchers).collect();
+        let mut holders = Vec::new();
+        for holder in &order {
+            let domain_used = holders.iter().any(|used| used % domains == holder % domains);
+            if holders.len() < replicas && !domain_used {
+                holders.push(*holder);
+            }
+        }
+        for holder in &order {
+            if holders.len() < replicas && !holders.contains(holder) {
+                holders.push(*holder);
+            }
+        }
+        holders
+    }
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,1 +1,12 @@
-//! Small stand-ins for the platform and the backend servers.
+//! Small stand-ins for the platform and the backend servers, for tests and the demo.
+//!
+//! Both can run as processes (the `standin` binary) or be embedded, several in one process.
+//! Faults are switched while they run, through the handles or by `POST /standin/faults`.
+
+pub mod client;
+pub mod corpus;
+pub mod fleet;
+pub mod http;
+pub mod layout;
+pub mod platform;
+pub mod searcher;
--- /dev/null
+++ b/standin/src/platform/store.rs
@@ -0,0 +1,128 @@
+//! The key-value store and its leases, as a state machine.
+
+use tarragondoor::platform_api;
+
+/// The most keys that the store holds.
+pub const KEYS_MAX: usize = 10_000;
+
+/// The most leases that the store holds.
+pub const LEASES_MAX: usize = 10_000;
+
+/// Why the store did not do what was asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum StoreError {
+    /// The key has another revision.
+    #[error("the key has revision {0}")]
+    Conflict(u64),
+    /// The lease does not exist, or not any more.
+    #[error("the lease has lapsed")]
+    LeaseLapsed,
+    /// The value is too large.
+    #[error("the value is too large")]
+    TooLarge,
+    /// There are too many keys or leases.
+    #[error("the store is full")]
+    Full,
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    key: String,
+    entry: platform_api::Entry,
+    lease: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    id: u64,
+    ttl_ms: u64,
+    lapses_ms: u64,
+}
+
+/// The store. Times are milliseconds on any clock that never goes back.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    records: Vec<Record>,
+    leases: Vec<Lease>,
+    revision: u64,
+    last_lease: u64,
+}
+
+impl Store {
+    /// The value of `key`.
+    pub fn get(&mut self, now_ms: u64, key: &str) -> Option<platform_api::Entry> {
+        self.lapse(now_ms);
+        let index = self.find(key).ok()?;
+        Some(self.records[index].entry.clone())
+    }
+
+    /// Writes `key` if it has the expected revision; gives its new revision.
+    pub fn put(
+        &mut self,
+        now_ms: u64,
+        key: &str,
+        request: platform_api::PutRequest,
+    ) -> Result<u64, StoreError> {
+        self.lapse(now_ms);
+        if request.value.len() > platform_api::VALUE_MAX_BYTES {
+            return Err(StoreError::TooLarge);
+        }
+        if let Some(lease) = request.lease {
+            self.find_lease(lease)?;
+        }
+        let found = self.find(key);
+        let in_force = found.map_or(0, |index| self.records[index].entry.revision);
+        if in_force != request.expected_revision {
+            return Err(StoreError::Conflict(in_force));
+        }
+        if found.is_err() && self.records.len() >= KEYS_MAX {
+            return Err(StoreError::Full);
+        }
+        self.revision += 1;
+        let entry = platform_api::Entry { value: request.value, revision: self.revision };
+        let record = Record { key: key.to_owned(), entry, lease: request.lease };
+        match found {
+            Ok(index) => self.records[index] = record,
+            Err(index) => self.records.insert(index, record),
+        }
+        Ok(self.revision)
+    }
+
+    /// Grants a lease.
+    pub fn grant(&mut self, now_ms: u64, ttl_ms: u64) -> Result<u64, StoreError> {
+        self.lapse(now_ms);
+        if self.leases.len() >= LEASES_MAX {
+            return Err(StoreError::Full);
+        }
+        self.last_lease += 1;
+        let lapses_ms = now_ms.saturating_add(ttl_ms);
+        self.leases.push(Lease { id: self.last_lease, ttl_ms, lapses_ms });
+        Ok(self.last_lease)
+    }
+
+    /// Renews a lease that has not lapsed.
+    pub fn renew(&mut self, now_ms: u64, lease: u64) -> Result<(), StoreError> {
+        self.lapse(now_ms);
+        let index = self.find_lease(lease)?;
+        let lease = &mut self.leases[index];
+        lease.lapses_ms = now_ms.saturating_add(lease.ttl_ms);
+        Ok(())
+    }
+
+    fn find(&self, key: &str) -> Result<usize, usize> {
+        self.records.binary_search_by(|record| record.key.as_str().cmp(key))
+    }
+
+    fn find_lease(&self, id: u64) -> Result<usize, StoreError> {
+        self.leases.binary_search_by_key(&id, |lease| lease.id).map_err(|_| StoreError::LeaseLapsed)
+    }
+
+    fn lapse(&mut self, now_ms: u64) {
+        self.leases.retain(|lease| lease.lapses_ms > now_ms);
+        let leases = &self.leases;
+        self.records.retain(|record| match record.lease {
+            None => true,
+            Some(id) => leases.binary_search_by_key(&id, |lease| lease.id).is_ok(),
+        });
+    }
+}
--- /dev/null
+++ b/standin/src/searcher/slots.rs
@@ -0,0 +1,153 @@
+//! The slots of a backend server, the bounded queue for them, and the attempts known to it.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, atomic};
+use tarragondoor::ids;
+use tarragondoor::searcher_api;
+use tokio::sync;
+
+/// The slots and their queue. Slots are given in the order of arrival.
+#[derive(Debug)]
+pub struct Slots {
+    free: Arc<sync::Semaphore>,
+    queue_max: u16,
+    busy: atomic::AtomicU16,
+    busy_peak: atomic::AtomicU16,
+    queued: atomic::AtomicU16,
+}
+
+/// A slot in use; dropping it frees the slot.
+pub struct Slot<'a> {
+    slots: &'a Slots,
+    _permit: sync::OwnedSemaphorePermit,
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.slots.busy.fetch_sub(1, atomic::Ordering::SeqCst);
+    }
+}
+
+struct Queued<'a>(&'a Slots);
+
+impl Drop for Queued<'_> {
+    fn drop(&mut self) {
+        self.0.queued.fetch_sub(1, atomic::Ordering::SeqCst);
+    }
+}
+
+impl Slots {
+    /// `slots` free slots, for which at most `queue_max` requests wait.
+    pub fn new(slots: u16, queue_max: u16) -> Self {
+        Self {
+            free: Arc::new(sync::Semaphore::new(usize::from(slots))),
+            queue_max,
+            busy: atomic::AtomicU16::new(0),
+            busy_peak: atomic::AtomicU16::new(0),
+            queued: atomic::AtomicU16::new(0),
+        }
+    }
+
+    /// The load now.
+    pub fn load(&self) -> searcher_api::Load {
+        searcher_api::Load {
+            busy_slots: self.busy.load(atomic::Ordering::SeqCst),
+            queued: self.queued.load(atomic::Ordering::SeqCst),
+        }
+    }
+
+    /// The most slots that were ever in use.
+    pub fn busy_peak(&self) -> u16 {
+        self.busy_peak.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Takes a slot, or waits for one until `deadline` or until `attempt` is cancelled.
+    pub async fn take(
+        &self,
+        deadline: tokio::time::Instant,
+        attempt: &Attempt<'_>,
+    ) -> Result<Slot<'_>, searcher_api::Refusal> {
+        if let Ok(permit) = self.free.clone().try_acquire_owned() {
+            return Ok(self.occupy(permit));
+        }
+        let _queued = self.enqueue().ok_or(searcher_api::Refusal::Shed)?;
+        tokio::select! {
+            biased;
+            () = attempt.cancelled() => Err(searcher_api::Refusal::Cancelled),
+            Ok(permit) = self.free.clone().acquire_owned() => Ok(self.occupy(permit)),
+            () = tokio::time::sleep_until(deadline) => Err(searcher_api::Refusal::TimedOut),
+        }
+    }
+
+    fn enqueue(&self) -> Option<Queued<'_>> {
+        let longer = |queued: u16| (queued < self.queue_max).then_some(queued + 1);
+        let order = atomic::Ordering::SeqCst;
+        self.queued.fetch_update(order, order, longer).ok()?;
+        Some(Queued(self))
+    }
+
+    fn occupy(&self, permit: sync::OwnedSemaphorePermit) -> Slot<'_> {
+        let busy = self.busy.fetch_add(1, atomic::Ordering::SeqCst) + 1;
+        self.busy_peak.fetch_max(busy, atomic::Ordering::SeqCst);
+        Slot { slots: self, _permit: permit }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    id: ids::AttemptId,
+    cancel: Arc<sync::Notify>,
+}
+
+/// The attempts that are queued or running.
+#[derive(Debug, Default)]
+pub struct Attempts(Mutex<Vec<Known>>);
+
+impl Attempts {
+    /// Makes an attempt known for as long as the result lives.
+    pub fn enter(&self, id: ids::AttemptId) -> Attempt<'_> {
+        let cancel = Arc::new(sync::Notify::new());
+        let mut known = self.lock();
+        let index = known.partition_point(|known| known.id <= id);
+        known.insert(index, Known { id, cancel: cancel.clone() });
+        Attempt { attempts: self, id, cancel }
+    }
+
+    /// Cancels an attempt, if it is known.
+    pub fn cancel(&self, id: ids::AttemptId) {
+        let known = self.lock();
+        let from = known.partition_point(|known| known.id < id);
+        for known in &known[from..] {
+            if known.id != id {
+                break;
+            }
+            known.cancel.notify_one();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Known>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A known attempt.
+pub struct Attempt<'a> {
+    attempts: &'a Attempts,
+    id: ids::AttemptId,
+    cancel: Arc<sync::Notify>,
+}
+
+impl Attempt<'_> {
+    /// Waits until the attempt is cancelled.
+    pub async fn cancelled(&self) {
+        self.cancel.notified().await;
+    }
+}
+
+impl Drop for Attempt<'_> {
+    fn drop(&mut self) {
+        let cancel = &self.cancel;
+        self.attempts
+            .lock()
+            .retain(|known| known.id != self.id || !Arc::ptr_eq(&known.cancel, cancel));
+    }
+}
--- /dev/null
+++ b/standin/src/searcher/status.rs
@@ -0,0 +1,42 @@
+//! The status as a backend server shows it: late, and not always true.
+
+use super::config;
+use std::collections;
+use tarragondoor::searcher_api;
+
+/// How many past states are kept.
+const SAMPLES_MAX: usize = 1024;
+
+/// The states of the recent past.
+#[derive(Clone, Debug, Default)]
+pub struct History(collections::VecDeque<(u64, searcher_api::StatusReply)>);
+
+impl History {
+    /// Notes the true state at `now_ms`.
+    pub fn note(&mut self, now_ms: u64, truth: searcher_api::StatusReply) {
+        if self.0.len() >= SAMPLES_MAX {
+            self.0.pop_front();
+        }
+        self.0.push_back((now_ms, truth));
+    }
+
+    /// The newest state that is at least `lag_ms` old, or else the oldest one known.
+    pub fn seen(&mut self, now_ms: u64, lag_ms: u64) -> Option<searcher_api::StatusReply> {
+        let known = self.0.partition_point(|(at_ms, _)| at_ms.saturating_add(lag_ms) <= now_ms);
+        self.0.drain(..known.saturating_sub(1));
+        self.0.front().map(|(_, status)| status.clone())
+    }
+}
+
+/// Puts the claims of `faults` in place of the truth.
+pub fn mislead(status: &mut searcher_api::StatusReply, faults: &config::Faults) {
+    if faults.claim_ready {
+        status.state = searcher_api::SearcherState::Ready;
+    }
+    if faults.claim_idle {
+        status.load = searcher_api::Load::default();
+    }
+    if let Some(holdings) = &faults.claim_holdings {
+        status.holdings = holdings.clone();
+    }
+}
