Membership, thin

A SWIM state machine without sockets and clock, datagrams sealed with a keyed BLAKE3 MAC, and one thread that owns the UDP socket. Ruled out: a random nonce for each datagram (needs a set of seen nonces); instead a nonce for each process and a sequence number with a window of 128 bits for each sender. No measurement yet.

--- a/src/events.rs
+++ b/src/events.rs
@@ -10,6 +10,20 @@
     InstanceStopping = 101,
     /// The instance stopped.
     InstanceStopped = 102,
+    /// The gossip thread started.
+    GossipStarted = 200,
+    /// A member is new or its state changed.
+    MemberChanged = 201,
+    /// A member is no longer known.
+    MemberForgotten = 202,
+    /// A newer process has this instance's name.
+    InstanceSuperseded = 203,
+    /// The process was paused.
+    ProcessPaused = 204,
+    /// A datagram was dropped.
+    DatagramDropped = 205,
+    /// The gossip thread stopped.
+    GossipStopped = 206,
 }
 
 impl Event {
--- /dev/null
+++ b/src/gossip/duty.rs
@@ -0,0 +1,235 @@
+//! The thread's loop.
+
+use crate::event;
+use crate::events;
+use crate::gossip;
+use crate::gossip::stats;
+use crate::member;
+use crate::member::{machine, message};
+use crate::seal;
+use std::collections;
+use std::io;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+use tokio::sync::mpsc;
+
+/// How long the loop waits for a datagram.
+const READ_TIMEOUT: time::Duration = time::Duration::from_millis(20);
+/// How long one datagram may wait for room in the socket's buffer.
+const WRITE_TIMEOUT: time::Duration = time::Duration::from_millis(1);
+/// Between two ticks of the state machine.
+const TICK_MS: u64 = 50;
+/// How many datagrams wait to be sent.
+const QUEUE_MAX: usize = 4_096;
+/// How many datagrams are sent before the next one is read.
+const SEND_BURST: usize = 64;
+/// The longest datagram that is read; longer ones are cut and then refused.
+const READ_BYTES: usize = 2_048;
+
+/// What the thread owns.
+pub(super) struct Duty {
+    membership: machine::Membership,
+    socket: net::UdpSocket,
+    sealer: seal::Sealer,
+    opener: seal::Opener,
+    shared: sync::Arc<gossip::Shared>,
+    commands: rtrb::Consumer<gossip::Command>,
+    subscribers: Vec<mpsc::Sender<machine::Event>>,
+    queue: collections::VecDeque<(net::SocketAddr, Vec<u8>)>,
+    start: time::Instant,
+    next_tick_ms: u64,
+    view_stale: bool,
+}
+
+/// Bounds how long the socket's calls take.
+pub(super) fn set_timeouts(socket: &net::UdpSocket) -> io::Result<()> {
+    socket.set_read_timeout(Some(READ_TIMEOUT))?;
+    socket.set_write_timeout(Some(WRITE_TIMEOUT))
+}
+
+impl Duty {
+    pub(super) fn new(
+        config: gossip::Config,
+        socket: net::UdpSocket,
+        key: seal::ClusterKey,
+        shared: sync::Arc<gossip::Shared>,
+        commands: rtrb::Consumer<gossip::Command>,
+    ) -> Self {
+        let boot = config.me.boot;
+        Self {
+            sealer: seal::Sealer::new(key.clone(), boot, config.nonce),
+            opener: seal::Opener::new(key),
+            membership: machine::Membership::new(
+                config.me,
+                config.protocol,
+                config.seeds,
+                config.rng_seed,
+            ),
+            socket,
+            shared,
+            commands,
+            subscribers: Vec::new(),
+            queue: collections::VecDeque::new(),
+            start: time::Instant::now(),
+            next_tick_ms: 0,
+            view_stale: true,
+        }
+    }
+
+    /// Runs until the stop flag is set.
+    pub(super) fn run(mut self) {
+        event!(info, events::Event::GossipStarted, instance = %self.membership.me().name);
+        while !self.shared.stop.load(atomic::Ordering::Acquire) {
+            self.take_commands();
+            self.tick();
+            self.read();
+            self.publish_view();
+            self.write(SEND_BURST);
+        }
+        self.take_commands();
+        self.step(machine::Input::Depart);
+        self.publish_view();
+        self.write(QUEUE_MAX);
+        event!(info, events::Event::GossipStopped, instance = %self.membership.me().name);
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+
+    fn take_commands(&mut self) {
+        while let Ok(command) = self.commands.pop() {
+            match command {
+                gossip::Command::Step(input) => self.step(input),
+                gossip::Command::Note(note) => self.membership.set_note(note),
+                gossip::Command::Subscribe(sender) => self.subscribers.push(sender),
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now_ms = self.now_ms();
+        if now_ms >= self.next_tick_ms {
+            self.next_tick_ms = now_ms + TICK_MS;
+            self.step(machine::Input::Tick);
+        }
+    }
+
+    fn read(&mut self) {
+        let mut buffer = [0; READ_BYTES];
+        let Ok((length, from)) = self.socket.recv_from(&mut buffer) else {
+            return;
+        };
+        let stats = &self.shared.stats;
+        stats::add(&stats.received, 1);
+        stats::add(&stats.received_bytes, length);
+        let opened = match self.opener.open(&buffer[..length], unix_ms()) {
+            Ok(opened) => opened,
+            Err(reason) => {
+                stats.count_refused(reason);
+                event!(debug, events::Event::DatagramDropped, %from, %reason);
+                return;
+            }
+        };
+        match message::Message::decode(opened.body) {
+            Ok(message) if message.boot == opened.boot => {
+                self.step(machine::Input::Datagram { from, message });
+            }
+            Ok(_) | Err(message::DecodeError) => {
+                stats::add(&stats.malformed, 1);
+                event!(debug, events::Event::DatagramDropped, %from, reason = "malformed");
+            }
+        }
+    }
+
+    fn step(&mut self, input: machine::Input) {
+        let now_ms = self.now_ms();
+        for output in self.membership.step(now_ms, input) {
+            match output {
+                machine::Output::Send(to, message) => self.enqueue(to, &message),
+                machine::Output::Event(event) => self.announce(event),
+            }
+        }
+    }
+
+    fn enqueue(&mut self, to: net::SocketAddr, message: &message::Message) {
+        let body = message.encode();
+        if body.len() > message::MESSAGE_MAX_BYTES || self.queue.len() >= QUEUE_MAX {
+            stats::add(&self.shared.stats.unsent, 1);
+            return;
+        }
+        let datagram = self.sealer.seal(&body, unix_ms());
+        self.queue.push_back((to, datagram));
+    }
+
+    fn write(&mut self, count: usize) {
+        for _ in 0..count {
+            let Some((to, datagram)) = self.queue.front() else {
+                return;
+            };
+            let stats = &self.shared.stats;
+            match self.socket.send_to(datagram, to) {
+                Ok(length) => {
+                    stats::add(&stats.sent, 1);
+                    stats::add(&stats.sent_bytes, length);
+                }
+                Err(error) if is_full(&error) => return,
+                Err(_) => stats::add(&stats.unsent, 1),
+            }
+            self.queue.pop_front();
+        }
+    }
+
+    fn announce(&mut self, event: machine::Event) {
+        self.view_stale |=
+            matches!(event, machine::Event::Changed(_) | machine::Event::Forgotten(_));
+        log(&event);
+        let stats = &self.shared.stats;
+        self.subscribers.retain(|subscriber| match subscriber.try_send(event.clone()) {
+            Ok(()) => true,
+            Err(mpsc::error::TrySendError::Full(_)) => {
+                stats::add(&stats.events_dropped, 1);
+                true
+            }
+            Err(mpsc::error::TrySendError::Closed(_)) => false,
+        });
+    }
+
+    fn publish_view(&mut self) {
+        if !self.view_stale {
+            return;
+        }
+        self.view_stale = false;
+        let version = self.shared.view.load().version + 1;
+        let view = member::View { version, members: self.membership.records() };
+        self.shared.view.store(sync::Arc::new(view));
+    }
+}
+
+fn log(event: &machine::Event) {
+    match event {
+        machine::Event::Changed(record) => {
+            let (name, boot, state) = (&record.name, record.boot, record.state);
+            event!(info, events::Event::MemberChanged, member = %name, %boot, %state);
+        }
+        machine::Event::Forgotten(name) => {
+            event!(info, events::Event::MemberForgotten, member = %name);
+        }
+        machine::Event::Superseded(boot) => {
+            event!(error, events::Event::InstanceSuperseded, %boot);
+        }
+        machine::Event::Paused { gap_ms } => event!(warn, events::Event::ProcessPaused, gap_ms),
+        machine::Event::Note { .. } | machine::Event::Direct { .. } => {}
+    }
+}
+
+fn is_full(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
+}
+
+fn unix_ms() -> u64 {
+    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    since.map_or(0, |duration| duration.as_millis() as u64)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,10 +4,13 @@
 
 pub mod caller_api;
 pub mod events;
+pub mod gossip;
 pub mod ids;
+pub mod member;
 pub mod operator_api;
 pub mod platform_api;
 pub mod rank;
+pub mod seal;
 pub mod searcher_api;
 pub mod settings;
 pub mod snapshot;
--- /dev/null
+++ b/src/member/machine.rs
@@ -0,0 +1,323 @@
+//! The state machine: `(now_ms, input) -> outputs`.
+
+use crate::ids;
+use crate::member;
+use crate::member::{message, probe, table, updates};
+use rand::SeedableRng;
+use rand::rngs;
+use std::net;
+
+/// What happened to a member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Input {
+    /// Time passed. Needed a few times for each gossip period.
+    Tick,
+    /// A message came.
+    Datagram {
+        /// From where.
+        from: net::SocketAddr,
+        /// What.
+        message: message::Message,
+    },
+    /// The platform's list of instances came.
+    Listed(Vec<(ids::InstanceName, net::SocketAddr)>),
+    /// Another duty has bytes for a member, at most [`message::DIRECT_MAX_BYTES`].
+    Direct {
+        /// For whom.
+        to: ids::InstanceName,
+        /// What.
+        bytes: Vec<u8>,
+    },
+    /// This instance begins to leave.
+    Leave,
+    /// This instance has left; the process ends.
+    Depart,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Send a message.
+    Send(net::SocketAddr, message::Message),
+    /// Tell the other duties.
+    Event(Event),
+}
+
+/// News for the other duties of the instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A member is new, or its record changed.
+    Changed(member::Record),
+    /// A member is no longer known.
+    Forgotten(ids::InstanceName),
+    /// A member's settings revision, with each of its messages.
+    Note {
+        /// The member.
+        from: ids::InstanceName,
+        /// Its boot.
+        boot: ids::BootId,
+        /// Its note.
+        note: member::RevisionNote,
+    },
+    /// Bytes for another duty.
+    Direct {
+        /// The member.
+        from: ids::InstanceName,
+        /// Its boot.
+        boot: ids::BootId,
+        /// The bytes.
+        bytes: Vec<u8>,
+    },
+    /// A process with a newer boot has this instance's name.
+    Superseded(ids::BootId),
+    /// This process was paused.
+    Paused {
+        /// For how long.
+        gap_ms: u64,
+    },
+}
+
+/// One instance's part in the membership.
+#[derive(Debug)]
+pub struct Membership {
+    pub(super) config: member::Config,
+    pub(super) me: member::Record,
+    pub(super) note: member::RevisionNote,
+    pub(super) table: table::Table,
+    pub(super) updates: updates::Updates,
+    pub(super) rng: rngs::SmallRng,
+    pub(super) seeds: Vec<net::SocketAddr>,
+    /// Sorted by name.
+    pub(super) listed: Vec<(ids::InstanceName, net::SocketAddr)>,
+    pub(super) health: probe::Health,
+    pub(super) probe: Option<probe::Probe>,
+    pub(super) relays: Vec<probe::Relay>,
+    /// The members still to be probed in this round.
+    pub(super) round: Vec<ids::InstanceName>,
+    pub(super) sequence: u32,
+    /// Records that others hold against members that are live here; sorted by name.
+    pub(super) rumors: Vec<member::Record>,
+    pub(super) last_step_ms: Option<u64>,
+    pub(super) next_probe_ms: u64,
+    pub(super) next_gossip_ms: u64,
+    pub(super) next_sync_ms: u64,
+    pub(super) next_reprobe_ms: u64,
+    pub(super) next_join_ms: u64,
+    /// Until when Unreachable members are tried more often, since one came back.
+    pub(super) eager_until_ms: u64,
+    pub(super) superseded: bool,
+    pub(super) outputs: Vec<Output>,
+}
+
+impl Membership {
+    /// The membership of one boot of one instance that knows nobody but where to ask.
+    pub fn new(
+        me: member::Record,
+        config: member::Config,
+        seeds: Vec<net::SocketAddr>,
+        rng_seed: u64,
+    ) -> Self {
+        let mut membership = Self {
+            config,
+            me: me.clone(),
+            note: member::RevisionNote::default(),
+            table: table::Table::default(),
+            updates: updates::Updates::default(),
+            rng: rngs::SmallRng::seed_from_u64(rng_seed),
+            seeds,
+            listed: Vec::new(),
+            health: probe::Health::default(),
+            probe: None,
+            relays: Vec::new(),
+            round: Vec::new(),
+            sequence: 0,
+            rumors: Vec::new(),
+            last_step_ms: None,
+            next_probe_ms: 0,
+            next_gossip_ms: 0,
+            next_sync_ms: 0,
+            next_reprobe_ms: 0,
+            next_join_ms: 0,
+            eager_until_ms: 0,
+            superseded: false,
+            outputs: Vec::new(),
+        };
+        membership.table.put(me, 0);
+        membership
+    }
+
+    /// Sets the note that goes along with each message from now on.
+    pub fn set_note(&mut self, note: member::RevisionNote) {
+        self.note = note;
+    }
+
+    /// The record of this instance.
+    pub fn me(&self) -> &member::Record {
+        &self.me
+    }
+
+    /// The records of all members, sorted by name.
+    pub fn records(&self) -> Vec<member::Record> {
+        self.table.entries().iter().map(|entry| entry.record.clone()).collect()
+    }
+
+    /// The record of `name`.
+    pub fn find(&self, name: &ids::InstanceName) -> Option<&member::Record> {
+        self.table.find(name).map(|entry| &entry.record)
+    }
+
+    /// Takes one input at `now_ms`, which never goes back.
+    pub fn step(&mut self, now_ms: u64, input: Input) -> Vec<Output> {
+        self.note_pause(now_ms);
+        match input {
+            Input::Tick => self.tick(now_ms),
+            Input::Datagram { from, message } => self.receive(now_ms, from, message),
+            Input::Listed(list) => self.take_list(now_ms, list),
+            Input::Direct { to, bytes } => self.send_direct(&to, bytes),
+            Input::Leave => self.leave(now_ms),
+            Input::Depart => self.depart(now_ms),
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn tick(&mut self, now_ms: u64) {
+        if self.me.state == member::State::Left {
+            return;
+        }
+        self.tick_relays(now_ms);
+        self.tick_probe(now_ms);
+        self.tick_suspicions(now_ms);
+        self.tick_gossip(now_ms);
+        self.tick_reprobe(now_ms);
+        self.tick_sync(now_ms);
+        self.tick_join(now_ms);
+    }
+
+    /// A process that was paused must not blame others for the answers that it missed.
+    fn note_pause(&mut self, now_ms: u64) {
+        let gap_ms = now_ms.saturating_sub(self.last_step_ms.unwrap_or(now_ms));
+        self.last_step_ms = Some(now_ms);
+        if gap_ms < self.config.pause_ms {
+            return;
+        }
+        self.emit(Event::Paused { gap_ms });
+        self.health.worst();
+        self.probe = None;
+        self.relays.clear();
+        self.next_probe_ms = now_ms + self.config.probe_period_ms;
+        self.next_sync_ms = now_ms;
+        for entry in self.table.entries_mut() {
+            if let Some(suspicion) = &mut entry.suspicion {
+                suspicion.end_ms += gap_ms + self.config.suspicion_ms;
+            }
+        }
+    }
+
+    fn leave(&mut self, now_ms: u64) {
+        if self.me.state == member::State::Alive {
+            self.assert_self(now_ms, member::State::Leaving);
+        }
+    }
+
+    fn depart(&mut self, now_ms: u64) {
+        if self.me.state == member::State::Left {
+            return;
+        }
+        self.assert_self(now_ms, member::State::Left);
+        for _ in 0..self.retransmit_limit() {
+            let Some(to) = self.random_peer(|record| record.state.is_probed()) else {
+                return;
+            };
+            self.send_with(to.peer_address, message::Kind::Gossip, vec![self.me.clone()]);
+        }
+    }
+
+    /// Makes this instance's record prevail over all that was said of it.
+    pub(super) fn assert_self(&mut self, now_ms: u64, state: member::State) {
+        self.me.incarnation.0 += 1;
+        self.me.state = state;
+        self.publish(now_ms, self.me.clone());
+    }
+
+    /// Takes over a record and spreads it.
+    pub(super) fn publish(&mut self, now_ms: u64, record: member::Record) {
+        self.updates.push(&record.name);
+        self.adopt(now_ms, record);
+    }
+
+    /// Takes over a record.
+    pub(super) fn adopt(&mut self, now_ms: u64, record: member::Record) {
+        self.table.put(record.clone(), now_ms);
+        self.emit(Event::Changed(record));
+    }
+
+    pub(super) fn emit(&mut self, event: Event) {
+        self.outputs.push(Output::Event(event));
+    }
+
+    pub(super) fn retransmit_limit(&self) -> u32 {
+        let members = self.table.entries().len() as u32;
+        self.config.retransmit_factor * (members.max(1).ilog10() + 1)
+    }
+
+    pub(super) fn next_sequence(&mut self) -> u32 {
+        self.sequence = self.sequence.wrapping_add(1);
+        self.sequence
+    }
+
+    fn send_direct(&mut self, to: &ids::InstanceName, bytes: Vec<u8>) {
+        if bytes.len() > message::DIRECT_MAX_BYTES {
+            return;
+        }
+        let Some(address) = self.find(to).map(|record| record.peer_address) else {
+            return;
+        };
+        self.send(address, message::Kind::Direct(bytes));
+    }
+
+    /// Sends a message that carries waiting updates.
+    pub(super) fn send(&mut self, to: net::SocketAddr, kind: message::Kind) {
+        self.send_with(to, kind, Vec::new());
+    }
+
+    /// Sends a message that carries `first` and then waiting updates, as many as fit.
+    pub(super) fn send_with(
+        &mut self,
+        to: net::SocketAddr,
+        kind: message::Kind,
+        first: Vec<member::Record>,
+    ) {
+        let mut message = self.envelope(kind);
+        message.updates = first;
+        if !self.updates.is_empty() {
+            self.fill_updates(&mut message);
+        }
+        self.outputs.push(Output::Send(to, message));
+    }
+
+    pub(super) fn envelope(&self, kind: message::Kind) -> message::Message {
+        let from = self.me.name.clone();
+        message::Message { from, boot: self.me.boot, note: self.note, kind, updates: Vec::new() }
+    }
+
+    fn fill_updates(&mut self, message: &mut message::Message) {
+        let mut room_bytes = message.room_bytes();
+        let mut sent = Vec::new();
+        for name in self.updates.least_sent() {
+            if message.updates.iter().any(|record| record.name == name) {
+                continue;
+            }
+            let Some(entry) = self.table.find(&name) else {
+                continue;
+            };
+            let bytes = message::record_bytes(&entry.record);
+            if bytes > room_bytes {
+                break;
+            }
+            room_bytes -= bytes;
+            message.updates.push(entry.record.clone());
+            sent.push(name);
+        }
+        self.updates.sent(&sent, self.retransmit_limit());
+    }
+}
--- /dev/null
+++ b/src/member/probe.rs
@@ -0,0 +1,60 @@
+//! Probes that run, and how far this instance trusts its own judgement of others.
+
+use crate::ids;
+use std::net;
+
+/// The highest [`Health`] score.
+const HEALTH_MAX: u64 = 4;
+
+/// A probe of a member, for this instance's own sake.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Probe {
+    pub(super) target: ids::InstanceName,
+    pub(super) sequence: u32,
+    pub(super) start_ms: u64,
+    /// When others are asked.
+    pub(super) ask_ms: u64,
+    /// When the member becomes suspect.
+    pub(super) end_ms: u64,
+    /// How many others were asked.
+    pub(super) asked: usize,
+    /// How many of them said that they had no answer either.
+    pub(super) nacks: usize,
+}
+
+/// A probe that another member asked for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Relay {
+    pub(super) target: ids::InstanceName,
+    pub(super) sequence: u32,
+    /// Who asked, and its sequence.
+    pub(super) origin: net::SocketAddr,
+    pub(super) origin_sequence: u32,
+    /// When the origin is told that there was no answer.
+    pub(super) nack_ms: u64,
+}
+
+/// Doubt in this instance's own judgement: 0 is none. Probes and suspicions last longer with doubt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Health {
+    score: u64,
+}
+
+impl Health {
+    pub(super) fn worse(&mut self) {
+        self.score = (self.score + 1).min(HEALTH_MAX);
+    }
+
+    pub(super) fn worst(&mut self) {
+        self.score = HEALTH_MAX;
+    }
+
+    pub(super) fn better(&mut self) {
+        self.score = self.score.saturating_sub(1);
+    }
+
+    /// What to multiply periods with.
+    pub(super) fn factor(self) -> u64 {
+        1 + self.score
+    }
+}
--- /dev/null
+++ b/src/member/receive.rs
@@ -0,0 +1,154 @@
+//! What a member does with each message.
+
+use crate::ids;
+use crate::member;
+use crate::member::{machine, message, probe};
+use std::net;
+
+/// How many members this one probes for others at a time.
+const RELAYS_MAX: usize = 256;
+
+impl machine::Membership {
+    pub(super) fn receive(
+        &mut self,
+        now_ms: u64,
+        from: net::SocketAddr,
+        mut message: message::Message,
+    ) {
+        if message.from == self.me.name && message.boot == self.me.boot {
+            return;
+        }
+        if self.me.state == member::State::Left {
+            return;
+        }
+        let updates = std::mem::take(&mut message.updates);
+        let about_me = updates.iter().any(|record| record.name == self.me.name);
+        // Whoever asked for pages has what it lacked; the news itself travels by gossip.
+        let spread = !matches!(message.kind, message::Kind::Page { .. });
+        for record in updates {
+            self.hear(now_ms, record, &message.from, spread);
+        }
+        let correction = self.correction(&message);
+        if self.knows(&message) {
+            self.surface_note(&message);
+        } else if message.kind != message::Kind::Join {
+            let root = self.table.root_hash();
+            self.send(from, message::Kind::Digest { root });
+        }
+        let mut first: Vec<member::Record> = correction.into_iter().collect();
+        if about_me {
+            first.push(self.me.clone());
+        }
+        self.answer(now_ms, from, message, first);
+    }
+
+    /// Whether the sender's boot is the one in the table.
+    fn knows(&self, message: &message::Message) -> bool {
+        self.find(&message.from).is_some_and(|record| record.boot == message.boot)
+    }
+
+    /// What the sender has to be told of itself, so that it refutes it.
+    fn correction(&self, message: &message::Message) -> Option<member::Record> {
+        let record = self.find(&message.from)?;
+        let settled = record.boot < message.boot
+            || record.boot == message.boot
+                && matches!(record.state, member::State::Alive | member::State::Leaving);
+        if settled { None } else { Some(record.clone()) }
+    }
+
+    fn surface_note(&mut self, message: &message::Message) {
+        self.emit(machine::Event::Note {
+            from: message.from.clone(),
+            boot: message.boot,
+            note: message.note,
+        });
+    }
+
+    fn answer(
+        &mut self,
+        now_ms: u64,
+        from: net::SocketAddr,
+        message: message::Message,
+        first: Vec<member::Record>,
+    ) {
+        let needs_answer = !first.is_empty();
+        match message.kind {
+            message::Kind::Ping { sequence, target } => {
+                if target == self.me.name {
+                    self.send_with(from, message::Kind::Ack { sequence, target }, first);
+                }
+                return;
+            }
+            message::Kind::Ack { sequence, target } => {
+                self.acknowledged(now_ms, sequence, &target);
+                self.relay_acknowledged(sequence, &target);
+            }
+            message::Kind::Nack { sequence } => self.refused(sequence),
+            message::Kind::PingRequest { sequence, target, address } => {
+                self.relay_probe(now_ms, from, sequence, target, address);
+            }
+            message::Kind::Join => self.send_pages(from, u32::MAX, 0),
+            message::Kind::Gossip => {}
+            message::Kind::Digest { root } => self.compare_digest(from, root),
+            message::Kind::Buckets { hashes } => self.compare_buckets(from, &hashes),
+            message::Kind::Page { want } => {
+                if want != 0 {
+                    self.send_pages(from, want, 0);
+                }
+            }
+            message::Kind::Direct(bytes) => {
+                let (from, boot) = (message.from, message.boot);
+                self.emit(machine::Event::Direct { from, boot, bytes });
+            }
+        }
+        if needs_answer {
+            self.send_with(from, message::Kind::Gossip, first);
+        }
+    }
+
+    fn relay_probe(
+        &mut self,
+        now_ms: u64,
+        origin: net::SocketAddr,
+        origin_sequence: u32,
+        target: ids::InstanceName,
+        address: net::SocketAddr,
+    ) {
+        if self.relays.len() >= RELAYS_MAX {
+            return;
+        }
+        let sequence = self.next_sequence();
+        let nack_ms = now_ms + self.config.probe_timeout_min_ms * 2;
+        let relay =
+            probe::Relay { target: target.clone(), sequence, origin, origin_sequence, nack_ms };
+        self.relays.push(relay);
+        self.send(address, message::Kind::Ping { sequence, target });
+    }
+
+    fn relay_acknowledged(&mut self, sequence: u32, target: &ids::InstanceName) {
+        let position = self
+            .relays
+            .iter()
+            .position(|relay| relay.sequence == sequence && relay.target == *target);
+        let Some(index) = position else {
+            return;
+        };
+        let relay = self.relays.swap_remove(index);
+        let sequence = relay.origin_sequence;
+        self.send(relay.origin, message::Kind::Ack { sequence, target: relay.target });
+    }
+
+    pub(super) fn tick_relays(&mut self, now_ms: u64) {
+        let mut due = Vec::new();
+        self.relays.retain(|relay| {
+            let keeps = now_ms < relay.nack_ms;
+            if !keeps {
+                due.push((relay.origin, relay.origin_sequence));
+            }
+            keeps
+        });
+        for (origin, sequence) in due {
+            self.send(origin, message::Kind::Nack { sequence });
+        }
+    }
+}
--- /dev/null
+++ b/src/member/sync.rs
@@ -0,0 +1,123 @@
+//! Joining, the platform's list, and the comparison of digests that finds what gossip missed.
+
+use crate::ids;
+use crate::member::{machine, message};
+use rand::RngExt;
+use std::net;
+
+/// How many listed members that are not known here are asked for each list.
+const LIST_JOINS_MAX: usize = 3;
+
+impl machine::Membership {
+    /// Asks a seed or a listed instance while no other member is live.
+    pub(super) fn tick_join(&mut self, now_ms: u64) {
+        if now_ms < self.next_join_ms {
+            return;
+        }
+        self.next_join_ms = now_ms + self.config.join_period_ms;
+        if self.table.live_count() > 1 {
+            return;
+        }
+        let mut addresses = self.seeds.clone();
+        addresses.extend(self.listed.iter().map(|(_, address)| *address));
+        addresses.retain(|address| *address != self.me.peer_address);
+        if addresses.is_empty() {
+            return;
+        }
+        let index = self.rng.random_range(0..addresses.len());
+        self.join(addresses[index]);
+        self.next_sync_ms = self.next_sync_ms.min(now_ms + self.config.join_period_ms);
+    }
+
+    fn join(&mut self, address: net::SocketAddr) {
+        self.send_with(address, message::Kind::Join, vec![self.me.clone()]);
+    }
+
+    /// Takes the platform's list. It lags: it only tells whom to ask, and whom to keep in mind.
+    pub(super) fn take_list(
+        &mut self,
+        now_ms: u64,
+        mut list: Vec<(ids::InstanceName, net::SocketAddr)>,
+    ) {
+        if list.is_empty() {
+            return;
+        }
+        list.sort();
+        let names: Vec<ids::InstanceName> = list.iter().map(|(name, _)| name.clone()).collect();
+        self.table.note_listed(&names, now_ms);
+        self.listed = list;
+        for name in self.table.forget(&self.config, now_ms) {
+            self.updates.remove(&name);
+            self.emit(machine::Event::Forgotten(name));
+        }
+        self.join_unknown();
+    }
+
+    fn join_unknown(&mut self) {
+        let mut addresses = Vec::new();
+        for (name, address) in &self.listed {
+            let known = self
+                .find(name)
+                .is_some_and(|record| record.state.is_probed() || record.peer_address == *address);
+            if !known && *name != self.me.name {
+                addresses.push(*address);
+            }
+        }
+        for _ in 0..LIST_JOINS_MAX.min(addresses.len()) {
+            let index = self.rng.random_range(0..addresses.len());
+            self.join(addresses.swap_remove(index));
+        }
+    }
+
+    pub(super) fn tick_sync(&mut self, now_ms: u64) {
+        if now_ms < self.next_sync_ms {
+            return;
+        }
+        self.next_sync_ms = now_ms + self.config.sync_period_ms;
+        let Some(peer) = self.random_peer(|record| record.state.is_probed()) else {
+            return;
+        };
+        let root = self.table.root_hash();
+        self.send(peer.peer_address, message::Kind::Digest { root });
+    }
+
+    pub(super) fn compare_digest(&mut self, from: net::SocketAddr, root: u64) {
+        if root == self.table.root_hash() {
+            return;
+        }
+        let hashes = self.table.bucket_hashes().to_vec();
+        self.send(from, message::Kind::Buckets { hashes });
+    }
+
+    pub(super) fn compare_buckets(&mut self, from: net::SocketAddr, hashes: &[u64]) {
+        if hashes.len() != message::BUCKETS {
+            return;
+        }
+        let mut differing = 0_u32;
+        for (bucket, hash) in self.table.bucket_hashes().iter().enumerate() {
+            if *hash != hashes[bucket] {
+                differing |= 1 << bucket;
+            }
+        }
+        if differing != 0 {
+            self.send_pages(from, differing, differing);
+        }
+    }
+
+    /// Sends the records of some buckets over as many datagrams as needed; the first asks for `want` in return.
+    pub(super) fn send_pages(&mut self, to: net::SocketAddr, buckets: u32, want: u32) {
+        let mut page = self.envelope(message::Kind::Page { want });
+        let mut room_bytes = page.room_bytes();
+        for record in self.table.records_of(buckets) {
+            let bytes = message::record_bytes(&record);
+            if bytes > room_bytes {
+                self.outputs.push(machine::Output::Send(to, page));
+                page = self.envelope(message::Kind::Page { want: 0 });
+                room_bytes = page.room_bytes();
+            }
+            room_bytes = room_bytes.saturating_sub(bytes);
+            page.updates.push(record);
+        }
+        self.outputs.push(machine::Output::Send(to, page));
+    }
+}
--- /dev/null
+++ b/src/member/table.rs
@@ -0,0 +1,227 @@
+//! The records of all members, sorted by name, with what this instance keeps beside them.
+
+use crate::ids;
+use crate::member;
+use crate::member::message;
+
+/// How long a forgotten member's old records are refused, as a multiple of the time to forget.
+const FORGOTTEN_FACTOR: u64 = 3;
+const NAME_SEED: u64 = 0;
+
+/// A member and what this instance keeps beside its record.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    pub(super) record: member::Record,
+    /// The hash of the record, blind to a suspicion, which is local for a time.
+    hash: u64,
+    /// When the state changed.
+    pub(super) since_ms: u64,
+    /// When a suspicion ends, if there is one.
+    pub(super) suspicion: Option<Suspicion>,
+    /// The smoothed round-trip time; 0 if unknown.
+    pub(super) rtt_ms: u32,
+    /// Since when the platform's list is without it.
+    unlisted_ms: Option<u64>,
+    /// Whether it was ever Alive, Suspect or Leaving here.
+    seen: bool,
+}
+
+/// A suspicion that runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Suspicion {
+    pub(super) start_ms: u64,
+    pub(super) end_ms: u64,
+}
+
+#[derive(Debug)]
+struct Forgotten {
+    name: ids::InstanceName,
+    boot: ids::BootId,
+    at_ms: u64,
+}
+
+/// The members, sorted by name.
+#[derive(Debug, Default)]
+pub(super) struct Table {
+    entries: Vec<Entry>,
+    /// Sorted by name.
+    forgotten: Vec<Forgotten>,
+}
+
+impl Table {
+    pub(super) fn entries(&self) -> &[Entry] {
+        &self.entries
+    }
+
+    pub(super) fn entries_mut(&mut self) -> &mut [Entry] {
+        &mut self.entries
+    }
+
+    pub(super) fn find(&self, name: &ids::InstanceName) -> Option<&Entry> {
+        self.entries.get(self.index(name).ok()?)
+    }
+
+    pub(super) fn find_mut(&mut self, name: &ids::InstanceName) -> Option<&mut Entry> {
+        let index = self.index(name).ok()?;
+        self.entries.get_mut(index)
+    }
+
+    fn index(&self, name: &ids::InstanceName) -> Result<usize, usize> {
+        self.entries.binary_search_by(|entry| entry.record.name.cmp(name))
+    }
+
+    /// Replaces the record of its name, whatever it was.
+    pub(super) fn put(&mut self, record: member::Record, now_ms: u64) {
+        let hash = record_hash(&record);
+        let seen = record.state.is_probed();
+        match self.index(&record.name) {
+            Ok(index) => {
+                let entry = &mut self.entries[index];
+                entry.record = record;
+                entry.hash = hash;
+                entry.since_ms = now_ms;
+                entry.suspicion = None;
+                entry.seen |= seen;
+            }
+            Err(index) => {
+                let entry = Entry {
+                    record,
+                    hash,
+                    since_ms: now_ms,
+                    suspicion: None,
+                    rtt_ms: 0,
+                    unlisted_ms: None,
+                    seen,
+                };
+                self.entries.insert(index, entry);
+            }
+        }
+    }
+
+    /// Whether a record of an unknown member is to be refused: it has left, or was forgotten.
+    pub(super) fn refuses(&self, record: &member::Record) -> bool {
+        if record.state == member::State::Left {
+            return true;
+        }
+        let Ok(index) = self.forgotten.binary_search_by(|old| old.name.cmp(&record.name)) else {
+            return false;
+        };
+        record.boot <= self.forgotten[index].boot
+    }
+
+    /// Lets a forgotten member come back, on its own word.
+    pub(super) fn recall(&mut self, name: &ids::InstanceName) {
+        self.forgotten.retain(|old| old.name != *name);
+    }
+
+    /// Notes which names the platform's list has, sorted.
+    pub(super) fn note_listed(&mut self, names: &[ids::InstanceName], now_ms: u64) {
+        for entry in &mut self.entries {
+            if names.binary_search(&entry.record.name).is_ok() {
+                entry.unlisted_ms = None;
+                continue;
+            }
+            entry.unlisted_ms.get_or_insert(now_ms);
+        }
+    }
+
+    /// Removes and returns the members to forget.
+    pub(super) fn forget(
+        &mut self,
+        config: &member::Config,
+        now_ms: u64,
+    ) -> Vec<ids::InstanceName> {
+        let keep_ms = config.forget_ms * FORGOTTEN_FACTOR;
+        self.forgotten.retain(|old| now_ms.saturating_sub(old.at_ms) < keep_ms);
+        let mut names = Vec::new();
+        for entry in &self.entries {
+            if is_over(entry, config, now_ms) {
+                names.push(entry.record.name.clone());
+            }
+        }
+        for name in &names {
+            self.remove(name, now_ms);
+        }
+        names
+    }
+
+    fn remove(&mut self, name: &ids::InstanceName, now_ms: u64) {
+        let Ok(index) = self.index(name) else {
+            return;
+        };
+        let entry = self.entries.remove(index);
+        let boot = entry.record.boot;
+        let forgotten = Forgotten { name: name.clone(), boot, at_ms: now_ms };
+        match self.forgotten.binary_search_by(|old| old.name.cmp(name)) {
+            Ok(index) => self.forgotten[index] = forgotten,
+            Err(index) => self.forgotten.insert(index, forgotten),
+        }
+    }
+
+    /// How many members are live, this instance among them.
+    pub(super) fn live_count(&self) -> usize {
+        self.entries.iter().filter(|entry| entry.record.state.is_live()).count()
+    }
+
+    /// The hash of each bucket, without members that have left.
+    pub(super) fn bucket_hashes(&self) -> [u64; message::BUCKETS] {
+        let mut hashes = [0_u64; message::BUCKETS];
+        for entry in &self.entries {
+            if entry.record.state == member::State::Left {
+                continue;
+            }
+            let bucket = bucket_of(&entry.record.name);
+            hashes[bucket] = hashes[bucket].wrapping_add(entry.hash);
+        }
+        hashes
+    }
+
+    /// The hash of all records.
+    pub(super) fn root_hash(&self) -> u64 {
+        let mut root = 0_u64;
+        for hash in self.bucket_hashes() {
+            root = root.rotate_left(1).wrapping_add(hash);
+        }
+        root
+    }
+
+    /// The records of the buckets whose bit is set in `wanted`.
+    pub(super) fn records_of(&self, wanted: u32) -> Vec<member::Record> {
+        let mut records = Vec::new();
+        for entry in &self.entries {
+            if wanted >> bucket_of(&entry.record.name) & 1 == 1 {
+                records.push(entry.record.clone());
+            }
+        }
+        records
+    }
+}
+
+fn is_over(entry: &Entry, config: &member::Config, now_ms: u64) -> bool {
+    let age_ms = now_ms.saturating_sub(entry.since_ms);
+    if entry.record.state == member::State::Left {
+        return age_ms >= config.forget_ms;
+    }
+    if entry.record.state != member::State::Unreachable {
+        return false;
+    }
+    let Some(unlisted_ms) = entry.unlisted_ms else {
+        return false;
+    };
+    let limit_ms = if entry.seen { config.forget_ms } else { config.forget_unseen_ms };
+    age_ms >= limit_ms && now_ms.saturating_sub(unlisted_ms) >= limit_ms
+}
+
+fn bucket_of(name: &ids::InstanceName) -> usize {
+    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(name.as_str().as_bytes(), NAME_SEED);
+    (hash % message::BUCKETS as u64) as usize
+}
+
+fn record_hash(record: &member::Record) -> u64 {
+    let mut record = record.clone();
+    if record.state == member::State::Suspect {
+        record.state = member::State::Alive;
+    }
+    let bytes = postcard::to_stdvec(&record).unwrap_or_default();
+    xxhash_rust::xxh3::xxh3_64(&bytes)
+}
--- /dev/null
+++ b/tests/gossip.rs
@@ -0,0 +1,109 @@
+//! The membership thread over real UDP sockets on loopback.
+
+use std::net;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+use tarragondoor::member::machine;
+use tarragondoor::{gossip, ids, member, seal};
+
+const KEY: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
+const WAIT_MAX: time::Duration = time::Duration::from_secs(30);
+
+fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = time::Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < WAIT_MAX, "timed out: {what}");
+        thread::sleep(time::Duration::from_millis(10));
+    }
+}
+
+fn start(index: u64, boot: u64, seeds: Vec<net::SocketAddr>) -> gossip::Handle {
+    let socket = net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap();
+    let me = member::Record {
+        name: format!("entry-{index}").parse().unwrap(),
+        boot: ids::BootId(boot),
+        incarnation: ids::Incarnation(0),
+        state: member::State::Alive,
+        peer_address: address,
+        caller_address: address,
+        region: "north".parse().unwrap(),
+        failure_domain: "north-a".parse().unwrap(),
+    };
+    let protocol = member::Config::default();
+    let config = gossip::Config { me, protocol, seeds, rng_seed: index, nonce: boot };
+    gossip::start(config, socket, KEY.parse().unwrap()).unwrap()
+}
+
+fn name(index: u64) -> ids::InstanceName {
+    format!("entry-{index}").parse().unwrap()
+}
+
+fn state_of(handle: &gossip::Handle, index: u64) -> Option<member::State> {
+    handle.view().find(&name(index)).map(|record| record.state)
+}
+
+#[test]
+fn three_instances_over_udp() {
+    let first = start(1, 1, Vec::new());
+    let seeds = vec![first.local_address()];
+    let second = start(2, 2, seeds.clone());
+    let third = start(3, 3, seeds.clone());
+    for handle in [&first, &second, &third] {
+        wait_until("all three see each other", || handle.view().live().count() == 3);
+    }
+
+    let mut events = third.subscribe(1_000).unwrap();
+    let note = member::RevisionNote { revision: ids::Revision(7), hash: [7; 32], fresh: true };
+    second.set_note(note).unwrap();
+    second.send_direct(name(3), b"query".to_vec()).unwrap();
+    let (mut noted, mut queried) = (false, false);
+    wait_until("the note and the bytes arrive", || {
+        while let Ok(event) = events.try_recv() {
+            noted |= matches!(&event, machine::Event::Note { from, note: n, .. } if *from == name(2) && *n == note);
+            queried |= matches!(&event, machine::Event::Direct { from, bytes, .. } if *from == name(2) && bytes == b"query");
+        }
+        noted && queried
+    });
+
+    second.leave().unwrap();
+    wait_until("leaving", || state_of(&first, 2) == Some(member::State::Leaving));
+    second.stop();
+    wait_until("left", || state_of(&first, 2) == Some(member::State::Left));
+    let second = start(2, 20, seeds);
+    wait_until("back with a newer boot", || {
+        let view = first.view();
+        view.find(&name(2)).is_some_and(|record| {
+            record.boot == ids::BootId(20) && record.state == member::State::Alive
+        })
+    });
+    wait_until("the newcomer sees all", || second.view().live().count() == 3);
+}
+
+#[test]
+fn strangers_change_nothing() {
+    let first = start(1, 1, Vec::new());
+    let before = first.view();
+    let stranger = net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let other_key = seal::ClusterKey::from_bytes([9; seal::KEY_BYTES]);
+    let now_ms = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap().as_millis();
+    let forged = seal::Sealer::new(other_key, ids::BootId(5), 5).seal(b"body", now_ms as u64);
+    let malformed =
+        seal::Sealer::new(KEY.parse().unwrap(), ids::BootId(5), 5).seal(b"body", now_ms as u64);
+    let datagrams = [Vec::new(), vec![0; 10], vec![7; 1_500], forged, malformed.clone(), malformed];
+    for datagram in &datagrams {
+        stranger.send_to(datagram, first.local_address()).unwrap();
+    }
+    let stats = first.stats();
+    wait_until("all are counted", || stats.received.load(atomic::Ordering::Relaxed) == 6);
+    wait_until("each for its reason", || {
+        stats.refused(seal::SealError::Short) == 2
+            && stats.refused(seal::SealError::Version) == 1
+            && stats.refused(seal::SealError::Mac) == 1
+            && stats.malformed.load(atomic::Ordering::Relaxed) == 1
+            && stats.refused(seal::SealError::Replayed) == 1
+    });
+    assert_eq!(before.members, first.view().members);
+    assert_eq!(stats.sent.load(atomic::Ordering::Relaxed), 0);
+}
