Settings: documents, deltas and plans

Canonical bytes are postcard of the sorted settings, named by their BLAKE3 hash; the platform holds them as hexadecimal text. Decoding encodes again, so only the canonical form of the right content passes. A plan's id names its base and its document, so it commits at most once, as the revision after its base. Ruled out: JSON as canonical form (three times the bytes, several spellings). No measurement.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,11 @@
 
 pub mod caller_api;
 pub mod check;
+pub mod document;
 pub mod events;
 pub mod ids;
 pub mod operator_api;
+pub mod plan;
 pub mod platform_api;
 pub mod rank;
 pub mod searcher_api;
