--- /dev/null
+++ b/src/hedge.rs
@@ -0,0 +1,93 @@
+//! Extra shard calls: hedges against stragglers and retries after refusals, each within a budget.
+
+use crate::estimate;
+
+/// The most extra calls that a budget saves up.
+const SAVED_MAX: f64 = 20.0;
+/// Retries allowed, in percent of the shard calls that queries need.
+const RETRY_PERCENT: u8 = 10;
+/// The quantile of latencies after which a call is hedged.
+const DELAY_QUANTILE: f64 = 0.95;
+/// The samples that the quantile needs.
+const SAMPLES_MIN: u32 = 50;
+/// The shortest delay of a hedge.
+const DELAY_MIN_US: u64 = 2_000;
+
+/// A budget of extra calls: each needed call earns a fraction of one.
+#[derive(Clone, Copy, Debug)]
+pub struct Budget {
+    earned_per_call: f64,
+    saved: f64,
+}
+
+impl Budget {
+    /// An empty budget that allows `percent` extra calls for each hundred needed.
+    pub fn new(percent: u8) -> Self {
+        Self { earned_per_call: f64::from(percent) / 100.0, saved: 0.0 }
+    }
+
+    /// Earns for `calls` that a query needs.
+    pub fn needed(&mut self, calls: u32) {
+        let earned = f64::from(calls) * self.earned_per_call;
+        self.saved = (self.saved + earned).min(SAVED_MAX);
+    }
+
+    /// Takes one extra call from the budget, if there is one.
+    pub fn spend(&mut self) -> bool {
+        if self.saved < 1.0 {
+            return false;
+        }
+        self.saved -= 1.0;
+        true
+    }
+}
+
+/// Decides on extra calls: one for each service at each entry.
+#[derive(Clone, Debug)]
+pub struct Hedger {
+    latencies: estimate::Quantiles,
+    hedges: Budget,
+    retries: Budget,
+}
+
+impl Hedger {
+    /// A hedger that has seen no latency; until it has, it does not hedge.
+    pub fn new(hedge_percent: u8) -> Self {
+        Self {
+            latencies: estimate::Quantiles::default(),
+            hedges: Budget::new(hedge_percent),
+            retries: Budget::new(RETRY_PERCENT),
+        }
+    }
+
+    /// Counts the `calls` that an admitted query needs.
+    pub fn needed(&mut self, calls: u32) {
+        self.hedges.needed(calls);
+        self.retries.needed(calls);
+    }
+
+    /// Counts an answer that came `latency_us` after its call was sent.
+    pub fn answered(&mut self, latency_us: u64) {
+        self.latencies.record(latency_us);
+    }
+
+    /// How long to wait for an answer before a hedge, or `None` while too little is known.
+    pub fn delay_us(&self) -> Option<u64> {
+        if self.latencies.sample_count() < SAMPLES_MIN {
+            return None;
+        }
+        let quantile_us = self.latencies.quantile_us(DELAY_QUANTILE)?;
+        Some(quantile_us.max(DELAY_MIN_US))
+    }
+
+    /// Whether to hedge now; a hedge that is allowed is counted. `saturated` tells whether the owner
+    /// of the hedge's target admits less than all.
+    pub fn hedge(&mut self, saturated: bool) -> bool {
+        !saturated && self.hedges.spend()
+    }
+
+    /// Whether to retry a refused call elsewhere now; a retry that is allowed is counted.
+    pub fn retry(&mut self, saturated: bool) -> bool {
+        !saturated && self.retries.spend()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,8 +4,10 @@
 
 pub mod admit;
 pub mod caller_api;
+pub mod choose;
 pub mod estimate;
 pub mod events;
+pub mod hedge;
 pub mod ids;
 pub mod operator_api;
 pub mod platform_api;
