Instances start, drain and stop; outcomes survive a change of the settings

Cause: an instance could be run by the daemon only, and a stop cut requests: volo-http's server cuts what is open 30 s after the signal and leaves new connections hanging, so the drain stands in its shutdown hook and outlasts the time that callers keep an address. An owner that gives a searcher up still makes calls for 2 s, since other instances learn of the new owner later. A run whose service was taken out of the settings after it ran was answered 'unknown service', which reads as not run: now the home seals the key and answers with what it knows. Not measured yet; process tests follow.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -81,7 +81,11 @@
         .enable_all()
         .build()
         .change_context(DaemonError::Run)?;
-    runtime.block_on(instance::run(config, secrets, settings)).change_context(DaemonError::Run)
+    runtime.block_on(async {
+        let mut instance =
+            instance::start(config, secrets, settings).await.change_context(DaemonError::Run)?;
+        instance.serve().await.change_context(DaemonError::Run)
+    })
 }
 
 fn parse(arguments: impl IntoIterator<Item = ffi::OsString>) -> Result<Asked, lexopt::Error> {
--- /dev/null
+++ b/src/duty.rs
@@ -0,0 +1,129 @@
+//! The duties that keep an instance's views up to date: one loop each.
+
+use crate::entry;
+use crate::ids;
+use crate::member;
+use crate::owner;
+use crate::peer_api;
+use crate::peers;
+use crate::platform;
+use crate::platform_api;
+use crate::policy;
+use crate::rank;
+use crate::searcher;
+use crate::serve;
+use crate::settings;
+use std::net;
+use std::sync;
+use std::time;
+
+/// How often the platform's list is read.
+const LIST_PERIOD: time::Duration = time::Duration::from_millis(1_000);
+
+/// How often ownership follows the views.
+const FOLLOW_PERIOD: time::Duration = time::Duration::from_millis(100);
+
+/// How long a call to the platform may take.
+pub const PLATFORM_TIMEOUT: time::Duration = time::Duration::from_millis(2_000);
+
+/// Reads the platform's list.
+pub async fn read_list(node: sync::Arc<entry::Node>, address: net::SocketAddr) {
+    let platform = platform::Platform::new(address, PLATFORM_TIMEOUT);
+    loop {
+        match platform.instances().await {
+            Ok(list) => {
+                node.world.directory.store(sync::Arc::new(peers::Directory::new(&list)));
+                if node.gossip.set_listed(listed_peers(&list)).is_err() {
+                    tracing::debug!("membership is busy; it gets the next list");
+                }
+            }
+            Err(error) => tracing::debug!(%error, "list not read"),
+        }
+        tokio::time::sleep(LIST_PERIOD).await;
+    }
+}
+
+fn listed_peers(list: &platform_api::InstanceList) -> Vec<(ids::InstanceName, net::SocketAddr)> {
+    let mut listed_peers = Vec::new();
+    for listed in &list.instances {
+        let platform_api::Workload::Entry { instance, peer_address } = &listed.workload else {
+            continue;
+        };
+        listed_peers.push((instance.clone(), *peer_address));
+    }
+    listed_peers
+}
+
+/// The members that may still serve, as the data path sees them.
+fn peers_of(view: &member::View) -> peers::Peers {
+    let mut peers = Vec::new();
+    for record in &view.members {
+        let eligible = match record.state {
+            member::State::Alive | member::State::Suspect => true,
+            member::State::Leaving => false,
+            member::State::Unreachable | member::State::Left => continue,
+        };
+        peers.push(peers::Peer {
+            instance: record.name.clone(),
+            boot: record.boot,
+            address: record.caller_address,
+            peer_address: record.peer_address,
+            region: record.region.clone(),
+            failure_domain: record.failure_domain.clone(),
+            eligible,
+        });
+    }
+    peers::Peers::new(peers)
+}
+
+/// Has ownership and links follow the members, the list and the settings.
+pub async fn follow(node: sync::Arc<entry::Node>, serve: sync::Arc<serve::Server>) {
+    loop {
+        let peers = sync::Arc::new(peers_of(&node.gossip.view()));
+        node.world.peers.store(peers.clone());
+        let directory = node.world.directory.load_full();
+        let settings = node.settings.load_full();
+        node.owner.follow(&peers, &directory, |service| limits(&settings, service));
+        node.links.follow(&peers, &serve);
+        tokio::time::sleep(FOLLOW_PERIOD).await;
+    }
+}
+
+fn limits(settings: &settings::Settings, service: &ids::ServiceName) -> Option<searcher::Limits> {
+    let policy = settings.service(service)?;
+    let mut floors_percent = [0; rank::RANK_COUNT];
+    for rank in rank::Rank::ALL {
+        let floor = settings.rank(rank).map_or(0, |policy| policy.floor_percent);
+        floors_percent[rank.index()] = floor;
+    }
+    Some(searcher::Limits {
+        slots: policy.slots_per_searcher,
+        connections: policy.connections_per_searcher,
+        floors_percent,
+        policy: policy::Policy::Full,
+    })
+}
+
+/// Refuses calls that wait in vain.
+pub async fn tick(node: sync::Arc<entry::Node>) {
+    loop {
+        node.owner.tick();
+        tokio::time::sleep(owner::TICK_PERIOD).await;
+    }
+}
+
+/// Asks the owned searchers for their status and tells the other instances.
+pub async fn probe(node: sync::Arc<entry::Node>) {
+    loop {
+        let holdings = node.holdings.load_full();
+        let changed = node
+            .owner
+            .probe(|searcher| holdings.find(searcher).map_or(0, |report| report.observation))
+            .await;
+        if !changed.is_empty() {
+            node.links.broadcast(&peer_api::Frame::Reports(changed.clone()));
+            node.merge_reports(changed);
+        }
+        tokio::time::sleep(owner::PROBE_PERIOD).await;
+    }
+}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -2,6 +2,7 @@
 
 use crate::attempts;
 use crate::caller_api;
+use crate::gate;
 use crate::gossip;
 use crate::holdings;
 use crate::home;
@@ -51,6 +52,8 @@
     pub home: home::Home,
     /// The searchers owned.
     pub owner: sync::Arc<owner::Owner>,
+    /// Whether requests are taken.
+    pub gate: gate::Gate,
     /// When the process started.
     pub started: time::Instant,
 }
@@ -69,6 +72,11 @@
         self.started.elapsed().as_millis() as u64
     }
 
+    /// Whether no request is open here, neither a caller's nor another instance's.
+    pub fn is_idle(&self) -> bool {
+        self.gate.is_idle() && self.home.open_count() == 0 && self.owner.is_idle()
+    }
+
     /// Takes in reports on searchers.
     pub fn merge_reports(&self, reports: Vec<peer_api::SearcherReport>) {
         self.holdings.rcu(|known| {
--- /dev/null
+++ b/src/gate.rs
@@ -0,0 +1,44 @@
+//! Whether an instance takes requests, and how many are open.
+
+use std::sync;
+use std::sync::atomic;
+
+/// The state that all handlers look at.
+#[derive(Debug, Default)]
+pub struct Gate {
+    stopping: atomic::AtomicBool,
+    open: sync::Arc<atomic::AtomicUsize>,
+}
+
+/// A request that is open until this is dropped.
+#[derive(Debug)]
+pub struct Open(sync::Arc<atomic::AtomicUsize>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, atomic::Ordering::AcqRel);
+    }
+}
+
+impl Gate {
+    /// Counts a request in.
+    pub fn enter(&self) -> Open {
+        self.open.fetch_add(1, atomic::Ordering::AcqRel);
+        Open(self.open.clone())
+    }
+
+    /// Whether no request is open.
+    pub fn is_idle(&self) -> bool {
+        self.open.load(atomic::Ordering::Acquire) == 0
+    }
+
+    /// Notes that the instance is about to stop. It still serves those who hold its address.
+    pub fn stop(&self) {
+        self.stopping.store(true, atomic::Ordering::Release);
+    }
+
+    /// Whether the instance is about to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(atomic::Ordering::Acquire)
+    }
+}
--- a/src/home.rs
+++ b/src/home.rs
@@ -9,6 +9,7 @@
 use crate::link;
 use crate::peer_api;
 use crate::peers;
+use crate::rank;
 use compact_str::CompactString;
 use std::sync;
 use std::time;
@@ -90,6 +91,15 @@
         Ok(step)
     }
 
+    fn seal(
+        &self,
+        key: &key::Key,
+        rank: rank::Rank,
+        cause: caller_api::ErrorCode,
+    ) -> Option<ledger::Verdict> {
+        self.ledger().seal(unix_ms(), key, rank, cause)
+    }
+
     fn settled(&self, key: &key::Key, sender: &tokio::sync::watch::Sender<bool>) {
         self.running().retain(|running| running.key != key.hash());
         sender.send_replace(true);
@@ -107,11 +117,9 @@
         call: caller_api::RunCall,
         traceparent: CompactString,
     ) -> Result<caller_api::RunAnswer, caller_api::ErrorReply> {
-        let key = self.check_run(&call)?;
+        let key = parse_key(&call)?;
         match self.take(&key, &call)? {
-            Step::Forward(home, boot) => {
-                Ok(self.ask_home(&key, home, boot, call, traceparent).await)
-            }
+            Step::Forward(home, boot) => self.ask_home(&key, home, boot, call, traceparent).await,
             step => Ok(self.finish(&key, step, call, traceparent).await),
         }
     }
@@ -127,7 +135,7 @@
         call: caller_api::RunCall,
         traceparent: CompactString,
     ) -> Result<caller_api::RunAnswer, caller_api::ErrorReply> {
-        let key = self.check_run(&call)?;
+        let key = parse_key(&call)?;
         match self.take(&key, &call)? {
             Step::Forward(..) => Ok(home_unreachable(&key)),
             step => Ok(self.finish(&key, step, call, traceparent).await),
@@ -139,31 +147,30 @@
         key: &key::Key,
         call: &caller_api::RunCall,
     ) -> Result<Step, caller_api::ErrorReply> {
+        if let Some(cause) = self.forbidden(call)
+            && let Some(verdict) = self.home.seal(key, call.rank, cause)
+        {
+            return Ok(Step::Answer(verdict));
+        }
         let request = ledger::Request {
             body: key::BodyHash::of(call),
             rank: call.rank,
-            deadline_ms: unix_ms() + u64::from(call.deadline_ms),
+            deadline_ms: unix_ms() + u64::from(call.deadline_ms.min(entry::DEADLINE_MAX_MS)),
         };
         self.home.take(key, request)
     }
 
-    fn check_run(&self, call: &caller_api::RunCall) -> Result<key::Key, caller_api::ErrorReply> {
+    /// Why the settings in force forbid a request. A key that was seen before keeps its outcome all
+    /// the same: the settings may have changed since.
+    fn forbidden(&self, call: &caller_api::RunCall) -> Option<caller_api::ErrorCode> {
         let settings = self.settings.load();
         let Some(policy) = settings.service(&call.service) else {
-            let code = caller_api::ErrorCode::UnknownService;
-            return Err(entry::refuse(code, "the service is not in the settings in force"));
+            return Some(caller_api::ErrorCode::UnknownService);
         };
         if policy.operations.binary_search(&call.operation).is_err() {
-            let code = caller_api::ErrorCode::UnknownOperation;
-            return Err(entry::refuse(code, "the operation is not declared for the service"));
+            return Some(caller_api::ErrorCode::UnknownOperation);
         }
-        if call.deadline_ms > entry::DEADLINE_MAX_MS {
-            let code = caller_api::ErrorCode::BadRequest;
-            return Err(entry::refuse(code, "the deadline is too far"));
-        }
-        call.key.parse().map_err(|error: key::ParseKeyError| {
-            entry::refuse(caller_api::ErrorCode::BadKey, error.to_string())
-        })
+        None
     }
 
     async fn finish(
@@ -275,15 +282,15 @@
         boot: ids::BootId,
         call: caller_api::RunCall,
         traceparent: CompactString,
-    ) -> caller_api::RunAnswer {
+    ) -> Result<caller_api::RunAnswer, caller_api::ErrorReply> {
         if self.links.peer_boot(&home).is_some_and(|known| known != boot) {
-            return home_unreachable(key);
+            return Ok(home_unreachable(key));
         }
         let timeout = time::Duration::from_millis(call.deadline_ms.into()) + FORWARD_SLACK;
         let request = peer_api::Request::HomeRun { traceparent, call };
         match self.links.request(&home, request, timeout).await {
-            Ok(peer_api::Reply::HomeRun(Ok(answer))) => answer,
-            _ => home_unreachable(key),
+            Ok(peer_api::Reply::HomeRun(answer)) => answer,
+            _ => Ok(home_unreachable(key)),
         }
     }
 }
@@ -293,6 +300,12 @@
     ledger::Verdict::Unknown(caller_api::ErrorCode::HomeUnreachable).answer(key)
 }
 
+fn parse_key(call: &caller_api::RunCall) -> Result<key::Key, caller_api::ErrorReply> {
+    call.key.parse().map_err(|error: key::ParseKeyError| {
+        entry::refuse(caller_api::ErrorCode::BadKey, error.to_string())
+    })
+}
+
 fn ended(outcome: peer_api::RunOutcome) -> ledger::AttemptOutcome {
     match outcome {
         peer_api::RunOutcome::Ran(result) => ledger::AttemptOutcome::Ran(result),
--- a/src/http.rs
+++ b/src/http.rs
@@ -37,6 +37,7 @@
 
 async fn search(utils::Extension(app): Shared, request: request::Request) -> response::Response {
     let traceparent = traceparent(&request);
+    let _open = app.node.gate.enter();
     let call = match body(request).await {
         Ok(call) => call,
         Err(error) => return refused(&error),
@@ -49,6 +50,7 @@
 
 async fn run(utils::Extension(app): Shared, request: request::Request) -> response::Response {
     let traceparent = traceparent(&request);
+    let _open = app.node.gate.enter();
     let call = match body(request).await {
         Ok(call) => call,
         Err(error) => return refused(&error),
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -2,8 +2,10 @@
 
 use crate::attempts;
 use crate::config;
+use crate::duty;
 use crate::entry;
 use crate::events::Event;
+use crate::gate;
 use crate::gossip;
 use crate::home;
 use crate::http;
@@ -11,14 +13,7 @@
 use crate::link;
 use crate::member;
 use crate::owner;
-use crate::peer_api;
-use crate::peers;
-use crate::platform;
-use crate::platform_api;
-use crate::policy;
-use crate::rank;
 use crate::seal;
-use crate::searcher;
 use crate::serve;
 use crate::settings;
 use error_stack::ResultExt as _;
@@ -26,38 +21,75 @@
 use std::sync;
 use std::time;
 
-/// How often the platform's list is read.
-const LIST_PERIOD: time::Duration = time::Duration::from_millis(1_000);
+/// How long after the announcement of its leave other instances may still name this one to callers.
+const LEAVE_SPREAD: time::Duration = time::Duration::from_millis(1_500);
 
-/// How often ownership follows the views.
-const FOLLOW_PERIOD: time::Duration = time::Duration::from_millis(100);
+/// The longest wait for the last request to end, above the longest deadline.
+const LAST_REQUEST_MAX: time::Duration =
+    time::Duration::from_millis(entry::DEADLINE_MAX_MS as u64 + 2_000);
 
-/// How long a call to the platform may take.
-const PLATFORM_TIMEOUT: time::Duration = time::Duration::from_millis(2_000);
+/// How often a stopping instance looks whether requests are open.
+const IDLE_PERIOD: time::Duration = time::Duration::from_millis(50);
+
+/// How often a free port is looked for that UDP and TCP can share.
+const PORT_TRIES: u32 = 16;
 
 /// Why an instance could not run.
 #[derive(Debug, thiserror::Error)]
-#[error("can't run the instance")]
-pub struct InstanceError;
+pub enum InstanceError {
+    /// An address can't be listened at.
+    #[error("can't listen at {0}")]
+    Listen(net::SocketAddr),
+    /// The membership could not be started.
+    #[error("can't start the membership")]
+    Membership,
+    /// The server for callers ended by itself.
+    #[error("the server for callers ended")]
+    Server,
+}
+
+/// A running instance. Dropping it ends it at once, as a crash would.
+pub struct Instance {
+    node: sync::Arc<entry::Node>,
+    app: sync::Arc<http::App>,
+    address: net::SocketAddr,
+    peer_address: net::SocketAddr,
+    listener: Option<tokio::net::TcpListener>,
+    duties: tokio::task::JoinSet<()>,
+}
 
-/// Runs an instance until it is told to stop by a signal.
+/// Starts an instance; it serves callers once [`Instance::serve`] runs.
 ///
 /// # Errors
 ///
 /// When it can't listen.
-pub async fn run(
+pub async fn start(
     config: config::Config,
     secrets: config::Secrets,
     settings: settings::Settings,
-) -> Result<(), error_stack::Report<InstanceError>> {
+) -> Result<Instance, error_stack::Report<InstanceError>> {
     let boot = ids::BootId(now_us());
-    let listener = http::bind(config.listen).await.change_context(InstanceError)?;
-    let peer_listener =
-        tokio::net::TcpListener::bind(config.peer_listen).await.change_context(InstanceError)?;
+    let listen_error = || InstanceError::Listen(config.listen);
+    let listener = http::bind(config.listen).await.change_context_lazy(listen_error)?;
+    let address = listener.local_addr().change_context_lazy(listen_error)?;
+    let (peer_listener, peer_socket) = bind_peer(config.peer_listen).await?;
+    let peer_address = peer_listener
+        .local_addr()
+        .change_context_lazy(|| InstanceError::Listen(config.peer_listen))?;
+    let me = member::Record {
+        name: config.instance.clone(),
+        boot,
+        incarnation: ids::Incarnation(0),
+        state: member::State::Alive,
+        peer_address,
+        caller_address: address,
+        region: config.region.clone(),
+        failure_domain: config.failure_domain.clone(),
+    };
+    let gossip = start_gossip(&config, me, peer_socket, secrets.key.clone())?;
     let attempts: sync::Arc<attempts::Attempts> = sync::Arc::default();
     let me = config.instance.clone();
     let links = link::Links::new(me.clone(), boot, &secrets.key, attempts.clone());
-    let gossip = start_gossip(&config, boot, secrets.key)?;
     let node = sync::Arc::new(entry::Node {
         me: me.clone(),
         boot,
@@ -70,78 +102,119 @@
         links: sync::Arc::new(links),
         home: home::Home::new(me.clone(), boot),
         owner: sync::Arc::new(owner::Owner::new(me)),
+        gate: gate::Gate::default(),
         started: time::Instant::now(),
     });
     let serve = sync::Arc::new(serve::Server { node: node.clone() });
-    tokio::spawn(node.links.clone().accept(peer_listener, serve.clone()));
-    tokio::spawn(read_list(node.clone(), config.platform));
-    tokio::spawn(follow(node.clone(), serve));
-    tokio::spawn(probe(node.clone()));
-    tokio::spawn(tick(node.clone()));
+    let mut duties = tokio::task::JoinSet::new();
+    duties.spawn(node.links.clone().accept(peer_listener, serve.clone()));
+    duties.spawn(duty::read_list(node.clone(), config.platform));
+    duties.spawn(duty::follow(node.clone(), serve));
+    duties.spawn(duty::probe(node.clone()));
+    duties.spawn(duty::tick(node.clone()));
     let app = sync::Arc::new(http::App {
         node: node.clone(),
         token: secrets.token,
         address_ttl_ms: config.address_ttl_ms,
     });
-    crate::event!(info, Event::InstanceStarted, instance = %node.me, boot = %node.boot);
-    let incoming = volo::net::incoming::DefaultIncoming::from(listener);
-    let server = volo_http::server::Server::new(http::router(app));
-    server
-        .run(incoming)
-        .await
-        .map_err(|error| error_stack::Report::new(InstanceError).attach(error.to_string()))?;
-    crate::event!(info, Event::InstanceStopped, instance = %node.me);
-    Ok(())
+    crate::event!(
+        info,
+        Event::InstanceStarted,
+        instance = %node.me,
+        boot = %node.boot,
+        address = %address,
+        peer_address = %peer_address
+    );
+    Ok(Instance { node, app, address, peer_address, listener: Some(listener), duties })
 }
 
-fn now_us() -> u64 {
-    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
-    since.as_micros() as u64
+impl Instance {
+    /// The shared state.
+    pub fn node(&self) -> &sync::Arc<entry::Node> {
+        &self.node
+    }
+
+    /// Where it listens for callers and operators.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Where it listens for instances.
+    pub fn peer_address(&self) -> net::SocketAddr {
+        self.peer_address
+    }
+
+    /// Serves callers until a signal tells the process to stop, then stops gracefully: it announces
+    /// its leave, serves for as long as callers may hold its address, and waits for open requests.
+    ///
+    /// # Errors
+    ///
+    /// When the server ends by itself.
+    pub async fn serve(&mut self) -> Result<(), error_stack::Report<InstanceError>> {
+        let Some(listener) = self.listener.take() else {
+            return Ok(());
+        };
+        let incoming = volo::net::incoming::DefaultIncoming::from(listener);
+        let app = self.app.clone();
+        let server = volo_http::server::Server::new(http::router(self.app.clone()))
+            .register_shutdown_hook(move || Box::pin(async move { drain(&app).await }));
+        server.run(incoming).await.map_err(|error| {
+            error_stack::Report::new(InstanceError::Server).attach(error.to_string())
+        })?;
+        crate::event!(info, Event::InstanceStopped, instance = %self.node.me);
+        Ok(())
+    }
+
+    /// Ends the instance at once.
+    pub fn kill(mut self) {
+        self.duties.abort_all();
+    }
 }
 
-async fn read_list(node: sync::Arc<entry::Node>, address: net::SocketAddr) {
-    let platform = platform::Platform::new(address, PLATFORM_TIMEOUT);
+/// Serves on for as long as callers may hold this instance's address, and until it is idle.
+async fn drain(app: &http::App) {
+    let node = &app.node;
+    crate::event!(info, Event::InstanceStopping, instance = %node.me);
+    node.gate.stop();
+    if node.gossip.leave().is_err() {
+        tracing::warn!("membership is busy; the leave is announced by its end");
+    }
+    let held = time::Duration::from_millis(app.address_ttl_ms.into());
+    tokio::time::sleep(held + LEAVE_SPREAD).await;
+    let give_up = tokio::time::Instant::now() + LAST_REQUEST_MAX;
+    while !node.is_idle() && tokio::time::Instant::now() < give_up {
+        tokio::time::sleep(IDLE_PERIOD).await;
+    }
+}
+
+/// Binds TCP and UDP to the same port; port 0 means any that is free for both.
+async fn bind_peer(
+    address: net::SocketAddr,
+) -> Result<(tokio::net::TcpListener, net::UdpSocket), error_stack::Report<InstanceError>> {
+    let error = || InstanceError::Listen(address);
+    let mut tries = 0;
     loop {
-        match platform.instances().await {
-            Ok(list) => {
-                node.world.directory.store(sync::Arc::new(peers::Directory::new(&list)));
-                if node.gossip.set_listed(listed_peers(&list)).is_err() {
-                    tracing::debug!("membership is busy; it gets the next list");
-                }
-            }
-            Err(error) => tracing::debug!(%error, "list not read"),
+        let listener = tokio::net::TcpListener::bind(address).await.change_context_lazy(error)?;
+        let bound = listener.local_addr().change_context_lazy(error)?;
+        match net::UdpSocket::bind(bound) {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(_) if address.port() == 0 && tries < PORT_TRIES => tries += 1,
+            Err(cause) => return Err(cause).change_context_lazy(error),
         }
-        tokio::time::sleep(LIST_PERIOD).await;
     }
 }
 
-fn listed_peers(list: &platform_api::InstanceList) -> Vec<(ids::InstanceName, net::SocketAddr)> {
-    let mut listed_peers = Vec::new();
-    for listed in &list.instances {
-        let platform_api::Workload::Entry { instance, peer_address } = &listed.workload else {
-            continue;
-        };
-        listed_peers.push((instance.clone(), *peer_address));
-    }
-    listed_peers
+fn now_us() -> u64 {
+    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
+    since.as_micros() as u64
 }
 
 fn start_gossip(
     config: &config::Config,
-    boot: ids::BootId,
+    me: member::Record,
+    socket: net::UdpSocket,
     key: seal::ClusterKey,
 ) -> Result<gossip::Handle, error_stack::Report<InstanceError>> {
-    let socket = net::UdpSocket::bind(config.peer_listen).change_context(InstanceError)?;
-    let me = member::Record {
-        name: config.instance.clone(),
-        boot,
-        incarnation: ids::Incarnation(0),
-        state: member::State::Alive,
-        peer_address: config.peer_listen,
-        caller_address: config.listen,
-        region: config.region.clone(),
-        failure_domain: config.failure_domain.clone(),
-    };
     let gossip_config = gossip::Config {
         me,
         protocol: member::Config::default(),
@@ -149,76 +222,5 @@
         rng_seed: rand::random(),
         nonce: rand::random(),
     };
-    gossip::start(gossip_config, socket, key).change_context(InstanceError)
-}
-
-/// The members that may still serve, as the data path sees them.
-fn peers_of(view: &member::View) -> peers::Peers {
-    let mut peers = Vec::new();
-    for record in &view.members {
-        let eligible = match record.state {
-            member::State::Alive | member::State::Suspect => true,
-            member::State::Leaving => false,
-            member::State::Unreachable | member::State::Left => continue,
-        };
-        peers.push(peers::Peer {
-            instance: record.name.clone(),
-            boot: record.boot,
-            address: record.caller_address,
-            peer_address: record.peer_address,
-            region: record.region.clone(),
-            failure_domain: record.failure_domain.clone(),
-            eligible,
-        });
-    }
-    peers::Peers::new(peers)
-}
-
-async fn follow(node: sync::Arc<entry::Node>, serve: sync::Arc<serve::Server>) {
-    loop {
-        let peers = sync::Arc::new(peers_of(&node.gossip.view()));
-        node.world.peers.store(peers.clone());
-        let directory = node.world.directory.load_full();
-        let settings = node.settings.load_full();
-        node.owner.follow(&peers, &directory, |service| limits(&settings, service));
-        node.links.follow(&peers, &serve);
-        tokio::time::sleep(FOLLOW_PERIOD).await;
-    }
-}
-
-fn limits(settings: &settings::Settings, service: &ids::ServiceName) -> Option<searcher::Limits> {
-    let policy = settings.service(service)?;
-    let mut floors_percent = [0; rank::RANK_COUNT];
-    for rank in rank::Rank::ALL {
-        let floor = settings.rank(rank).map_or(0, |policy| policy.floor_percent);
-        floors_percent[rank.index()] = floor;
-    }
-    Some(searcher::Limits {
-        slots: policy.slots_per_searcher,
-        connections: policy.connections_per_searcher,
-        floors_percent,
-        policy: policy::Policy::Full,
-    })
-}
-
-async fn tick(node: sync::Arc<entry::Node>) {
-    loop {
-        node.owner.tick();
-        tokio::time::sleep(owner::TICK_PERIOD).await;
-    }
-}
-
-async fn probe(node: sync::Arc<entry::Node>) {
-    loop {
-        let holdings = node.holdings.load_full();
-        let changed = node
-            .owner
-            .probe(|searcher| holdings.find(searcher).map_or(0, |report| report.observation))
-            .await;
-        if !changed.is_empty() {
-            node.links.broadcast(&peer_api::Frame::Reports(changed.clone()));
-            node.merge_reports(changed);
-        }
-        tokio::time::sleep(owner::PROBE_PERIOD).await;
-    }
+    gossip::start(gossip_config, socket, key).change_context(InstanceError::Membership)
 }
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -16,6 +16,10 @@
 /// How often calls that wait in vain are looked for.
 pub const TICK_PERIOD: time::Duration = time::Duration::from_millis(10);
 
+/// How long an instance still makes calls to a searcher that it has given up: other instances learn of
+/// the new owner a little later.
+pub const PARTING_HOLD: time::Duration = time::Duration::from_millis(2_000);
+
 /// Where the outcome of a call goes.
 #[derive(Clone)]
 pub enum ReplyTo {
@@ -46,17 +50,28 @@
     cancel: tokio::sync::oneshot::Sender<()>,
 }
 
+struct Parting {
+    searcher: sync::Arc<searcher::Searcher>,
+    until: tokio::time::Instant,
+}
+
 /// All searchers that this instance owns, sorted by name.
 pub struct Owner {
     me: ids::InstanceName,
     owned: sync::RwLock<Vec<sync::Arc<searcher::Searcher>>>,
+    parting: sync::Mutex<Vec<Parting>>,
     running: sync::Mutex<Vec<Running>>,
 }
 
 impl Owner {
     /// Owns nothing yet.
     pub fn new(me: ids::InstanceName) -> Self {
-        Self { me, owned: sync::RwLock::default(), running: sync::Mutex::default() }
+        Self {
+            me,
+            owned: sync::RwLock::default(),
+            parting: sync::Mutex::default(),
+            running: sync::Mutex::default(),
+        }
     }
 
     /// Takes over what this instance owns in these views and gives up the rest. Calls that run at a
@@ -86,9 +101,32 @@
                 }
             }
         }
+        self.part(&known, &next);
         *write(&self.owned) = next;
     }
 
+    /// Keeps searchers that are given up to another owner for a while.
+    fn part(
+        &self,
+        known: &[sync::Arc<searcher::Searcher>],
+        next: &[sync::Arc<searcher::Searcher>],
+    ) {
+        let now = tokio::time::Instant::now();
+        let mut parting = lock(&self.parting);
+        parting.retain(|parting| parting.until > now);
+        for searcher in known {
+            if find(next, &searcher.listed().searcher).is_some() {
+                continue;
+            }
+            parting.push(Parting { searcher: searcher.clone(), until: now + PARTING_HOLD });
+        }
+    }
+
+    /// Whether no call of a query runs.
+    pub fn is_idle(&self) -> bool {
+        lock(&self.running).is_empty()
+    }
+
     /// The searchers owned, sorted by name.
     pub fn all(&self) -> Vec<sync::Arc<searcher::Searcher>> {
         read(&self.owned).clone()
@@ -221,7 +259,15 @@
     }
 
     fn find(&self, searcher: &ids::SearcherName) -> Option<sync::Arc<searcher::Searcher>> {
-        find(&read(&self.owned), searcher).cloned()
+        if let Some(owned) = find(&read(&self.owned), searcher) {
+            return Some(owned.clone());
+        }
+        let parting = lock(&self.parting);
+        let found = parting.iter().rev().find(|parting| {
+            parting.searcher.listed().searcher == *searcher
+                && parting.until > tokio::time::Instant::now()
+        });
+        found.map(|parting| parting.searcher.clone())
     }
 }
 
