Contract tests of the stand-ins

Cause: other tests lean on the stand-ins, so what they do under each fault has to be certain.

No verdict hangs on a measured time: held calls are held for longer than any test runs, and other calls are answered meanwhile.

No measurement.

--- a/standin/src/searcher/mod.rs
+++ b/standin/src/searcher/mod.rs
@@ -257,6 +257,11 @@
         self.inner.slots.load()
     }
 
+    /// How many connections are open; none while it is killed.
+    pub fn open_connections(&self) -> usize {
+        lock(&self.inner.server).as_ref().map_or(0, http::Server::open_connections)
+    }
+
     /// What it counted.
     pub fn counts(&self) -> Counts {
         self.inner.counts()
--- a/standin/src/searcher/slots.rs
+++ b/standin/src/searcher/slots.rs
@@ -73,8 +73,8 @@
         tokio::select! {
             biased;
             () = attempt.cancelled() => Err(searcher_api::Refusal::Cancelled),
-            Ok(permit) = self.free.clone().acquire_owned() => Ok(self.occupy(permit)),
             () = tokio::time::sleep_until(deadline) => Err(searcher_api::Refusal::TimedOut),
+            Ok(permit) = self.free.clone().acquire_owned() => Ok(self.occupy(permit)),
         }
     }
 
--- /dev/null
+++ b/standin/tests/fleet.rs
@@ -0,0 +1,199 @@
+//! The corpus, the layout of a fleet, and the stand-ins as processes.
+
+mod support;
+
+use standin::{client, corpus, fleet, layout, platform};
+use std::fs;
+use std::io::{self, BufRead as _};
+use std::path;
+use std::process;
+use tarragondoor::{ids, platform_api, snapshot};
+
+fn example(name: &str) -> path::PathBuf {
+    path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples").join(name)
+}
+
+fn read(name: &str) -> layout::FleetConfig {
+    layout::FleetConfig::parse(&fs::read_to_string(example(name)).unwrap()).unwrap()
+}
+
+fn spec(searchers: u16, replicas: u16) -> layout::ServiceSpec {
+    let mut spec = read("fleet-seedling.jsonc").services[0].clone();
+    spec.searchers = searchers;
+    spec.replicas = replicas;
+    spec
+}
+
+quickcheck::quickcheck! {
+    fn any_cut_into_shards_gives_the_same_answer(version: u64, shard_count: u8, query: String) -> bool {
+        let service: ids::ServiceName = "beans".parse().unwrap();
+        let version = ids::IndexVersion(version);
+        let shard_count = u32::from(shard_count) + 1;
+        let mut merged = Vec::new();
+        for shard in 0..shard_count {
+            let shard = ids::ShardId(shard);
+            merged.extend(corpus::hits(&service, version, shard, shard_count, &query, 10));
+        }
+        corpus::sort(&mut merged);
+        merged.truncate(10);
+        let next = ids::IndexVersion(version.0.wrapping_add(1));
+        merged == corpus::all_hits(&service, version, &query, 10)
+            && merged.len() == 10
+            && merged != corpus::all_hits(&service, next, &query, 10)
+    }
+
+    fn each_shard_has_its_replicas(searchers: u8, replicas: u8, domains: u8, map: u8, shards: u8) -> bool {
+        let searchers = u16::from(searchers % 24) + 1;
+        let replicas = u16::from(replicas) % searchers + 1;
+        let domains = usize::from(domains % 4) + 1;
+        let map_version = ids::MapVersion(u64::from(map));
+        let snapshot = snapshot::Snapshot { index_version: ids::IndexVersion(1), map_version };
+        let held = spec(searchers, replicas).holdings(domains, snapshot, u32::from(shards));
+        for shard in 0..u32::from(shards) {
+            let holds = |holding: &snapshot::Holding| holding.shards.binary_search(&ids::ShardId(shard)).is_ok();
+            let holders: Vec<usize> = (0..held.len()).filter(|i| holds(&held[*i])).collect();
+            let mut spread: Vec<usize> = holders.iter().map(|holder| holder % domains).collect();
+            spread.sort();
+            spread.dedup();
+            let most = domains.min(usize::from(replicas)).min(usize::from(searchers));
+            if holders.len() != usize::from(replicas) || spread.len() != most {
+                return false;
+            }
+        }
+        held.len() == usize::from(searchers)
+    }
+}
+
+#[test]
+fn bad_fleet_files_are_refused() {
+    let text = fs::read_to_string(example("fleet-seedling.jsonc")).unwrap();
+    let cases = [
+        ("\"searchers\": 13", "\"searchers\": 2"),
+        ("\"shards\": 52", "\"shards\": 0"),
+        ("\"count\": 25", "\"count\": 0"),
+        ("\"slots\": 5,", "\"slots\": 5, \"lots\": 5,"),
+        ("\"service\": \"members\"", "\"service\": \"a member\""),
+        ("[\"north-1\"]", "[]"),
+        ("[\"coast-1\"]", "[]"),
+        ("[\"valley-1\"]", "[]"),
+    ];
+    let mut changed = text.clone();
+    for (from, to) in cases {
+        assert!(text.contains(from), "{from}");
+        if to == "[]" {
+            changed = changed.replace(from, to);
+            continue;
+        }
+        assert!(layout::FleetConfig::parse(&text.replace(from, to)).is_err(), "{to}");
+    }
+    let parsed = layout::FleetConfig::parse(&changed);
+    assert_eq!(parsed, Err(layout::FleetConfigError::NoDomain));
+}
+
+#[tokio::test]
+async fn fleets_of_todays_size_list_themselves() {
+    let mut seen = String::new();
+    for name in ["fleet-seedling.jsonc", "fleet-dela-paz.jsonc"] {
+        let platform =
+            platform::Platform::start(support::LOOPBACK, Default::default()).await.unwrap();
+        let fleet = fleet::start(&read(name), Some(platform.address())).await.unwrap();
+        let reply = client::Client::default().get(platform.address(), "/v1/instances").await;
+        let listed = reply.unwrap().json::<platform_api::InstanceList>().unwrap().instances;
+        assert_eq!(listed.len(), fleet.members().count());
+        seen += &format!("{name}: {} services, {} listed\n", fleet.services.len(), listed.len());
+        for service in &fleet.services {
+            let spec = &service.spec;
+            if service.service.as_str().ends_with(|c: char| c.is_ascii_digit() && c != '1') {
+                continue;
+            }
+            seen += &format!(
+                "  {}: {} searchers, {} slots, {} connections, {} ms to open, {} shards\n",
+                service.service,
+                spec.searchers,
+                spec.slots,
+                spec.connections,
+                spec.open_ms,
+                spec.shards
+            );
+        }
+    }
+    insta::assert_snapshot!(seen);
+}
+
+#[tokio::test]
+async fn a_new_snapshot_reaches_each_backend_server() {
+    let mut config = read("fleet-dela-paz.jsonc");
+    config.services.retain(|spec| spec.service.as_str() == "orders");
+    let fleet = fleet::start(&config, None).await.unwrap();
+    let orders = &config.services[0].service;
+    let (index_version, map_version) = (ids::IndexVersion(2), ids::MapVersion(2));
+    let next = snapshot::Snapshot { index_version, map_version };
+    assert!(fleet.publish(orders, next, 7));
+    assert!(fleet.retire(orders, fleet::FIRST_SNAPSHOT));
+    assert!(!fleet.publish(&"wreaths".parse().unwrap(), next, 7));
+    let mut replicas = 0;
+    for member in fleet.members() {
+        let holdings = member.searcher.holdings();
+        assert_eq!(holdings.len(), 1);
+        assert_eq!((holdings[0].snapshot, holdings[0].shard_count), (next, 7));
+        replicas += holdings[0].shards.len();
+    }
+    assert_eq!(replicas, 7 * usize::from(config.services[0].replicas));
+}
+
+struct Running(process::Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Starts the binary and reads its output up to the first line that starts with `last`.
+fn run(arguments: &[&str], last: &str) -> (Running, Vec<String>) {
+    let mut command = process::Command::new(env!("CARGO_BIN_EXE_standin"));
+    let command = command.args(arguments).stdout(process::Stdio::piped());
+    let mut running = Running(command.stderr(process::Stdio::null()).spawn().unwrap());
+    let mut lines = Vec::new();
+    for line in io::BufReader::new(running.0.stdout.take().unwrap()).lines() {
+        lines.push(line.unwrap());
+        if lines.last().unwrap().starts_with(last) {
+            return (running, lines);
+        }
+    }
+    panic!("{arguments:?} ended: {lines:?}");
+}
+
+#[tokio::test]
+async fn both_stand_ins_run_as_processes() {
+    let faults = r#"{"lose_replies":1}"#;
+    let arguments = ["platform", "--listen", "127.0.0.1:0", "--faults", faults];
+    let (_platform, lines) = run(&arguments, "platform ");
+    let platform = lines[0].strip_prefix("platform ").unwrap();
+    let fleet = example("fleet-seedling.jsonc");
+    let arguments = ["searchers", "--platform", platform, "--fleet", fleet.to_str().unwrap()];
+    let (_searchers, lines) = run(&arguments, "ready");
+    let client = client::Client::default();
+    let address = platform.parse().unwrap();
+    let reply = client.get(address, "/v1/instances").await.unwrap();
+    let listed = reply.json::<platform_api::InstanceList>().unwrap().instances;
+    assert_eq!(listed.len(), lines.len() - 1);
+    let faults = client.get(address, "/standin/faults").await.unwrap();
+    assert_eq!(faults.json::<platform::Faults>().unwrap().lose_replies, 1);
+    let searcher = lines[0].rsplit(' ').next().unwrap().parse().unwrap();
+    assert_eq!(client.get(searcher, "/status").await.unwrap().status, 200);
+}
+
+#[test]
+fn a_bad_command_line_is_refused() {
+    let platform = ["platform", "--listen", "127.0.0.1:0", "--faults", r#"{"outages":1}"#];
+    let cases: [&[&str]; 5] =
+        [&[], &["platform"], &["searchers"], &["balancer", "--listen", "127.0.0.1:0"], &platform];
+    for arguments in cases {
+        let mut command = process::Command::new(env!("CARGO_BIN_EXE_standin"));
+        let output = command.args(arguments).output().unwrap();
+        assert!(!output.status.success(), "{arguments:?}");
+        assert!(String::from_utf8_lossy(&output.stderr).contains("usage: "), "{arguments:?}");
+    }
+}
--- /dev/null
+++ b/standin/tests/support/mod.rs
@@ -0,0 +1,86 @@
+//! What the contract tests share: connections of their own, and waiting for a condition.
+
+#![allow(dead_code)]
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt;
+use serde::{Serialize, de};
+use std::net;
+use std::time;
+use tokio::task;
+
+const WAIT_MAX: time::Duration = time::Duration::from_secs(30);
+const WAIT_STEP: time::Duration = time::Duration::from_millis(2);
+
+pub const LOOPBACK: net::SocketAddr =
+    net::SocketAddr::new(net::IpAddr::V4(net::Ipv4Addr::LOCALHOST), 0);
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    pub status: u16,
+    pub body: String,
+}
+
+impl Reply {
+    pub fn json<T: de::DeserializeOwned>(&self) -> T {
+        serde_json::from_str(&self.body).unwrap_or_else(|e| panic!("{e} in {self:?}"))
+    }
+}
+
+/// One connection.
+pub struct Line(http1::SendRequest<Full<Bytes>>);
+
+impl Line {
+    pub async fn open(address: net::SocketAddr) -> Self {
+        let stream = tokio::net::TcpStream::connect(address).await.unwrap();
+        let (sender, connection) = http1::handshake(rt::TokioIo::new(stream)).await.unwrap();
+        tokio::spawn(connection);
+        Self(sender)
+    }
+
+    /// Calls, with an empty body where `body` is empty; `None` if the connection breaks.
+    pub async fn call(&mut self, method: &str, path: &str, body: &str) -> Option<Reply> {
+        let body = Full::new(Bytes::from(body.to_owned()));
+        let request = hyper::Request::builder().method(method).uri(path).header("host", "test");
+        let answer = async {
+            self.0.ready().await.ok()?;
+            let response = self.0.send_request(request.body(body).unwrap()).await.ok()?;
+            let status = response.status().as_u16();
+            let body = response.into_body().collect().await.ok()?.to_bytes();
+            Some(Reply { status, body: String::from_utf8(body.to_vec()).unwrap() })
+        };
+        tokio::time::timeout(WAIT_MAX, answer).await.expect("no answer in time")
+    }
+}
+
+/// Calls on a connection of its own.
+pub async fn call(address: net::SocketAddr, method: &str, path: &str, body: &str) -> Option<Reply> {
+    Line::open(address).await.call(method, path, body).await
+}
+
+/// Posts JSON on a connection of its own; the connection must not break.
+pub async fn post(address: net::SocketAddr, path: &str, body: &impl Serialize) -> Reply {
+    call(address, "POST", path, &serde_json::to_string(body).unwrap()).await.expect("no answer")
+}
+
+/// Starts a call on a connection of its own.
+pub fn start(
+    address: net::SocketAddr,
+    method: &'static str,
+    path: &'static str,
+    body: &impl Serialize,
+) -> task::JoinHandle<Option<Reply>> {
+    let body = serde_json::to_string(body).unwrap();
+    tokio::spawn(async move { call(address, method, path, &body).await })
+}
+
+/// Waits until `condition` holds.
+pub async fn until(what: &str, mut condition: impl FnMut() -> bool) {
+    let started = time::Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < WAIT_MAX, "waited in vain: {what}");
+        tokio::time::sleep(WAIT_STEP).await;
+    }
+}
