--- a/src/admit.rs
+++ b/src/admit.rs
@@ -5,6 +5,7 @@
 //! different backend servers nest. Each call carries the inverse of the share that was applied, so
 //! that an owner knows the load offered, not only what got through.
 
+use crate::choose;
 use crate::estimate;
 use crate::ids;
 use crate::rank;
@@ -170,23 +171,41 @@
         grown.min(1.0)
     }
 
-    /// Decides on a query that needs all of `searchers`.
+    /// Decides on a query with the given plan. For each call, the searchers that could take it are
+    /// averaged: the choice spreads calls over them, and their errors cancel out.
     pub fn decide(
         &self,
         now_us: u64,
         query: ids::QueryId,
         rank: rank::Rank,
-        searchers: &[u16],
+        layout: &choose::Layout,
+        plan: &choose::Plan,
     ) -> Admission {
         let mut share = 1.0_f64;
-        for searcher in searchers {
-            share = share.min(self.share(now_us, *searcher, rank));
+        for call in &plan.calls {
+            share = share.min(self.mean_share(now_us, rank, layout, call));
         }
         if place(query) >= share {
             return Admission::Refuse;
         }
         Admission::Admit { weight: (1.0 / share) as f32 }
     }
+
+    fn mean_share(
+        &self,
+        now_us: u64,
+        rank: rank::Rank,
+        layout: &choose::Layout,
+        call: &choose::Call,
+    ) -> f64 {
+        let mut sum = 0.0;
+        let mut count = 0.0_f64;
+        for holder in layout.holders_of(call) {
+            sum += self.share(now_us, *holder, rank);
+            count += 1.0;
+        }
+        sum / count.max(1.0)
+    }
 }
 
 /// The place of a query among all queries, from 0 to below 1: the same on every instance.
--- a/src/choose.rs
+++ b/src/choose.rs
@@ -118,6 +118,14 @@
         Self { holders, held }
     }
 
+    /// The holders of the first of the call's shards.
+    pub fn holders_of(&self, call: &Call) -> &[u16] {
+        match call.shards.first() {
+            Some(shard) => &self.holders[*shard as usize],
+            None => &[],
+        }
+    }
+
     fn gain(&self, searcher: u16, open: &[u64]) -> u32 {
         let mut gain = 0;
         for (held, open) in self.held[usize::from(searcher)].iter().zip(open) {
--- a/tests/driver/mod.rs
+++ b/tests/driver/mod.rs
@@ -328,10 +328,10 @@
         let seed = (self.uniform() * 1e18) as u64;
         let at = &mut self.entries[entry];
         let plan = at.chooser.choose(self.now_us, &self.layout, seed);
-        let searchers: Vec<u16> = plan.calls.iter().map(|call| call.searcher).collect();
         let mut admission = admit::Admission::Admit { weight: 1.0 };
         if self.setup.policy == policy::Policy::Full {
-            admission = at.gate.decide(self.now_us, ids::QueryId(seed), rank, &searchers);
+            let id = ids::QueryId(seed);
+            admission = at.gate.decide(self.now_us, id, rank, &self.layout, &plan);
         }
         let mut query = Query {
             entry,
