Shortfall of admitted work is made up for

Cause: a query still gets the least of 20 shares, so that less arrives than an owner granted; and floors were shares of the 95 % that is planned for. Left: several hundred background queries refused after admission at the start.

--- a/src/admit.rs
+++ b/src/admit.rs
@@ -15,6 +15,10 @@
 const TARGET_UTILISATION: f64 = 0.95;
 /// How long service times are remembered.
 const SERVICE_TIME_CONSTANT_US: u64 = 2_000_000;
+/// How much of a shortfall is made up for in a second.
+const CORRECTION_PER_S: f64 = 0.5;
+/// The largest correction.
+const CORRECTION_MAX: f64 = 1.3;
 /// How long a share is used as it was told.
 const FRACTION_FRESH_US: u64 = 200_000;
 /// How much a share grows for each second without news after that.
@@ -44,6 +48,10 @@
 pub struct Controller {
     floors: [f64; rank::RANK_COUNT],
     offered: [estimate::Rate; rank::RANK_COUNT],
+    /// Calls received since the last correction.
+    received: [u32; rank::RANK_COUNT],
+    corrections: [f64; rank::RANK_COUNT],
+    corrected_us: u64,
     service: [estimate::DecayingMean; rank::RANK_COUNT],
     service_guess_us: f64,
 }
@@ -54,6 +62,9 @@
         Self {
             floors: floors_percent.map(|percent| f64::from(percent) / 100.0),
             offered: [estimate::Rate::new(now_us); rank::RANK_COUNT],
+            received: [0; rank::RANK_COUNT],
+            corrections: [1.0; rank::RANK_COUNT],
+            corrected_us: now_us,
             service: [estimate::DecayingMean::new(SERVICE_TIME_CONSTANT_US); rank::RANK_COUNT],
             service_guess_us: service_us as f64,
         }
@@ -62,6 +73,7 @@
     /// Counts a call that was received, whatever becomes of it. `weight` is what the entry sent along.
     pub fn offered(&mut self, now_us: u64, rank: rank::Rank, weight: f32) {
         self.offered[rank.index()].record(now_us, f64::from(weight).max(1.0));
+        self.received[rank.index()] += 1;
     }
 
     /// Counts a call that was answered after `service_us` in its slot.
@@ -71,20 +83,44 @@
 
     /// The shares to admit while `slots` can be used. To be sent with every reply.
     pub fn fractions(&mut self, now_us: u64, slots: usize) -> Fractions {
-        let capacity = slots as f64 * TARGET_UTILISATION;
         let offered = self.offered_load(now_us);
-        let granted = share_out(capacity, &self.floors, &offered);
+        let granted = share_out(slots as f64, &self.floors, &offered);
+        self.correct(now_us, &granted, &offered);
         let mut fractions = Fractions::default();
         for index in 0..rank::RANK_COUNT {
             if granted[index] >= offered[index] {
                 continue;
             }
-            let share = (granted[index] / offered[index]).max(FRACTION_MIN);
+            let share = granted[index] / offered[index] * self.corrections[index];
+            let share = share.clamp(FRACTION_MIN, 1.0);
             fractions.0[index] = (share * f64::from(u16::MAX)) as u16;
         }
         fractions
     }
 
+    /// A query gets the least of many shares, so less arrives than was granted. The shortfall is seen
+    /// at each owner, and each makes up for it.
+    fn correct(
+        &mut self,
+        now_us: u64,
+        granted: &[f64; rank::RANK_COUNT],
+        offered: &[f64; rank::RANK_COUNT],
+    ) {
+        let elapsed_s = now_us.saturating_sub(self.corrected_us) as f64 / 1e6;
+        self.corrected_us = self.corrected_us.max(now_us);
+        for index in 0..rank::RANK_COUNT {
+            let received_us =
+                f64::from(std::mem::take(&mut self.received[index])) * self.service_us(index);
+            if granted[index] >= offered[index] {
+                self.corrections[index] = 1.0;
+                continue;
+            }
+            let served_s = received_us / granted[index].max(f64::MIN_POSITIVE) / 1e6;
+            let correction = self.corrections[index] + CORRECTION_PER_S * (elapsed_s - served_s);
+            self.corrections[index] = correction.clamp(1.0, CORRECTION_MAX);
+        }
+    }
+
     /// The slots that each rank would keep busy if all of it were admitted.
     fn offered_load(&mut self, now_us: u64) -> [f64; rank::RANK_COUNT] {
         let mut load = [0.0; rank::RANK_COUNT];
@@ -103,16 +139,17 @@
     }
 }
 
-/// Shares `capacity` out: to each rank its floor as far as it asks, then the rest by urgency.
+/// Shares `slots` out: to each rank its floor as far as it asks, then the rest of what is planned for
+/// by urgency.
 fn share_out(
-    capacity: f64,
+    slots: f64,
     floors: &[f64; rank::RANK_COUNT],
     offered: &[f64; rank::RANK_COUNT],
 ) -> [f64; rank::RANK_COUNT] {
     let mut granted = [0.0; rank::RANK_COUNT];
-    let mut rest = capacity;
+    let mut rest = slots * TARGET_UTILISATION;
     for index in 0..rank::RANK_COUNT {
-        granted[index] = offered[index].min(floors[index] * capacity).min(rest);
+        granted[index] = offered[index].min(floors[index] * slots).min(rest);
         rest -= granted[index];
     }
     for index in 0..rank::RANK_COUNT {
