--- a/tests/driver/mod.rs
+++ b/tests/driver/mod.rs
@@ -328,10 +328,10 @@
         let seed = (self.uniform() * 1e18) as u64;
         let at = &mut self.entries[entry];
         let plan = at.chooser.choose(self.now_us, &self.layout, seed);
-        let searchers: Vec<u16> = plan.calls.iter().map(|call| call.searcher).collect();
         let mut admission = admit::Admission::Admit { weight: 1.0 };
         if self.setup.policy == policy::Policy::Full {
-            admission = at.gate.decide(self.now_us, ids::QueryId(seed), rank, &searchers);
+            let id = ids::QueryId(seed);
+            admission = at.gate.decide(self.now_us, id, rank, &self.layout, &plan);
         }
         let mut query = Query {
             entry,
@@ -489,7 +489,8 @@
         let rank = self.queries[record.query].rank;
         let owner = &mut self.owners[record.searcher][record.owner];
         let usable = owner.slots.usable_slots();
-        let fractions = owner.controller.fractions(self.now_us, usable).0;
+        let queued = owner.slots.queued_by_rank();
+        let fractions = owner.controller.fractions(self.now_us, usable, queued).0;
         let service_us = owner.slots.service_us(rank) as u32;
         let in_use = owner.slots.in_use() as u32;
         let report = [usable as u32, in_use, owner.slots.queued() as u32, service_us];
