Entries admit, choose and hedge by the policy

Cause: the thin path chose the nearest holder and retried without a budget. Each service has a traffic state at each entry: chooser, hedger and admission gate learn from every outcome. The policy is a setting of the instance, so that the plain baseline runs on the same path. The query's tests bring their own chooser; the thin one is gone.

--- a/src/config.rs
+++ b/src/config.rs
@@ -4,6 +4,7 @@
 
 use crate::ids;
 use crate::peers;
+use crate::policy;
 use crate::seal;
 use compact_str::CompactString;
 use serde::Deserialize;
@@ -73,6 +74,9 @@
     /// How many threads serve requests.
     #[serde(default = "default_worker_threads")]
     pub worker_threads: u16,
+    /// The policy; the plain one is for comparison only.
+    #[serde(default)]
+    pub policy: policy::Policy,
     /// How logs are written.
     #[serde(default)]
     pub log: LogFormat,
--- /dev/null
+++ b/src/drive.rs
@@ -0,0 +1,355 @@
+//! Sees one search through: sends its calls, takes in their outcomes, hedges, ends in time.
+
+use crate::attempts;
+use crate::caller_api;
+use crate::choose;
+use crate::entry;
+use crate::holdings;
+use crate::ids;
+use crate::owner;
+use crate::peer_api;
+use crate::query;
+use crate::searcher_api;
+use crate::snapshot;
+use crate::traffic;
+use compact_str::CompactString;
+use std::sync;
+use std::time;
+
+/// How many outcomes of one query may wait to be taken in.
+const REPLIES_QUEUE: usize = 1_024;
+
+/// One start of a query, on one snapshot.
+pub struct Start<'a> {
+    /// The instance.
+    pub node: &'a entry::Node,
+    /// What the caller asks.
+    pub call: &'a caller_api::SearchCall,
+    /// The query's id.
+    pub query_id: ids::QueryId,
+    /// The W3C `traceparent` of the query's span.
+    pub traceparent: &'a CompactString,
+    /// When the answer is of no use any more.
+    pub deadline: tokio::time::Instant,
+    /// The service's traffic.
+    pub traffic: traffic::Shared,
+}
+
+/// How a start ended.
+pub enum Ended {
+    /// It was not admitted; nothing was sent.
+    NotAdmitted,
+    /// It ran to its end.
+    Ran {
+        /// The end.
+        end: query::End,
+        /// How many attempts the query has made so far.
+        next_attempt: u64,
+    },
+}
+
+struct Sent {
+    attempt: ids::AttemptId,
+    searcher: ids::SearcherName,
+    sent_us: u64,
+}
+
+struct Batch {
+    owner: ids::InstanceName,
+    calls: Vec<peer_api::ShardCall>,
+}
+
+/// The running part of a start.
+struct Running<'a> {
+    start: &'a Start<'a>,
+    snapshot: snapshot::Snapshot,
+    weight: f32,
+    sender: attempts::ReplySender,
+    sent: Vec<Sent>,
+}
+
+impl Start<'_> {
+    /// Runs the query on this snapshot.
+    pub async fn run(
+        &self,
+        replicas: &holdings::Replicas,
+        first_attempt: u64,
+        effort: caller_api::Effort,
+    ) -> Ended {
+        let rank = self.call.rank;
+        let now_us = self.node.now_us();
+        let admitted = lock(&self.traffic).admit(now_us, self.query_id, rank, replicas);
+        let Some(admitted) = admitted else {
+            return Ended::NotAdmitted;
+        };
+        let terms = query::Terms {
+            query_id: self.query_id,
+            first_attempt,
+            snapshot: replicas.snapshot,
+            shard_count: replicas.shards.len() as u32,
+            limit: self.call.limit,
+            effort,
+        };
+        let (sender, receiver) = tokio::sync::mpsc::channel(REPLIES_QUEUE);
+        let mut running = Running {
+            start: self,
+            snapshot: replicas.snapshot,
+            weight: admitted.weight,
+            sender,
+            sent: Vec::new(),
+        };
+        running.probe(&admitted);
+        let routed = traffic::Routed::new(self.traffic.clone(), admitted);
+        let (query, outputs) = query::Query::start(self.node.now_ms(), terms, routed);
+        running.drive(query, outputs, receiver).await
+    }
+}
+
+impl Running<'_> {
+    async fn drive(
+        &mut self,
+        mut query: query::Query<traffic::Routed>,
+        mut outputs: Vec<query::Output>,
+        mut receiver: tokio::sync::mpsc::Receiver<peer_api::ShardReply>,
+    ) -> Ended {
+        loop {
+            if let Some(end) = self.act(outputs) {
+                return Ended::Ran { end, next_attempt: query.next_attempt() };
+            }
+            let hedge_at = self.next_hedge(&query);
+            let wake = hedge_at.map_or(self.start.deadline, |at| at.min(self.start.deadline));
+            outputs = match tokio::time::timeout_at(wake, receiver.recv()).await {
+                Ok(Some(reply)) => self.reply(&mut query, reply),
+                Ok(None) => query.expire(),
+                Err(_) if tokio::time::Instant::now() >= self.start.deadline => query.expire(),
+                Err(_) => self.hedge(&mut query),
+            };
+        }
+    }
+
+    fn reply(
+        &mut self,
+        query: &mut query::Query<traffic::Routed>,
+        reply: peer_api::ShardReply,
+    ) -> Vec<query::Output> {
+        let now_us = self.start.node.now_us();
+        let position = self.sent.iter().position(|sent| sent.attempt == reply.attempt);
+        if let Some(position) = position {
+            let sent = self.sent.swap_remove(position);
+            let mut traffic = lock(&self.start.traffic);
+            traffic.ended(now_us, &reply, now_us.saturating_sub(sent.sent_us));
+            if wants_room(&reply) {
+                query.choose_mut().denied = !traffic.may_retry(now_us, self.start.call.rank);
+            }
+        }
+        query.choose_mut().now_us = now_us;
+        query.reply(self.start.node.now_ms(), reply)
+    }
+
+    /// When the next call is overdue.
+    fn next_hedge(&self, query: &query::Query<traffic::Routed>) -> Option<tokio::time::Instant> {
+        let delay_us = lock(&self.start.traffic).hedge_delay_us()?;
+        let open = query.slow_attempts(u64::MAX);
+        let mut oldest_us: Option<u64> = None;
+        for sent in &self.sent {
+            if !open.iter().any(|open| open.attempt == sent.attempt) {
+                continue;
+            }
+            oldest_us = Some(oldest_us.map_or(sent.sent_us, |oldest| oldest.min(sent.sent_us)));
+        }
+        let due_us = oldest_us? + delay_us;
+        let left_us = due_us.saturating_sub(self.start.node.now_us());
+        Some(tokio::time::Instant::now() + time::Duration::from_micros(left_us))
+    }
+
+    /// Hedges the calls that are overdue, as far as the budget goes.
+    fn hedge(&mut self, query: &mut query::Query<traffic::Routed>) -> Vec<query::Output> {
+        let now_us = self.start.node.now_us();
+        let Some(delay_us) = lock(&self.start.traffic).hedge_delay_us() else {
+            return Vec::new();
+        };
+        let open = query.slow_attempts(u64::MAX);
+        let mut outputs = Vec::new();
+        for sent in &self.sent {
+            let age_us = now_us.saturating_sub(sent.sent_us);
+            if age_us < delay_us || !open.iter().any(|open| open.attempt == sent.attempt) {
+                continue;
+            }
+            let allowed = lock(&self.start.traffic).may_hedge(
+                now_us,
+                self.start.call.rank,
+                &sent.searcher,
+                age_us,
+            );
+            query.choose_mut().now_us = now_us;
+            query.choose_mut().denied = !allowed;
+            outputs.extend(query.hedge(self.start.node.now_ms(), sent.attempt));
+            query.choose_mut().denied = false;
+        }
+        outputs
+    }
+
+    fn act(&mut self, outputs: Vec<query::Output>) -> Option<query::End> {
+        let mut batches: Vec<Batch> = Vec::new();
+        let mut end = None;
+        for output in outputs {
+            match output {
+                query::Output::Send(call) => self.add(&mut batches, call),
+                query::Output::Cancel(open) => self.cancel(open),
+                query::Output::Done(ended) => end = Some(ended),
+            }
+        }
+        for batch in batches {
+            self.send(batch);
+        }
+        end
+    }
+
+    fn add(&mut self, batches: &mut Vec<Batch>, call: peer_api::ShardCall) {
+        let node = self.start.node;
+        self.sent.push(Sent {
+            attempt: call.attempt,
+            searcher: call.searcher.clone(),
+            sent_us: node.now_us(),
+        });
+        lock(&self.start.traffic).sent(&call.searcher);
+        let Some(owner) = node.owner_of(&call.searcher) else {
+            let failure = peer_api::Failure::NotOwner;
+            let reply = attempts::failed_reply(call.attempt, call.searcher, failure);
+            if self.sender.try_send(reply).is_err() {
+                tracing::warn!("more outcomes than a query takes");
+            }
+            return;
+        };
+        node.attempts.open(&call, &owner, &self.sender);
+        match batches.iter_mut().find(|batch| batch.owner == owner) {
+            Some(batch) => batch.calls.push(call),
+            None => batches.push(Batch { owner, calls: vec![call] }),
+        }
+    }
+
+    fn send(&self, batch: Batch) {
+        let node = self.start.node;
+        let search = self.search(batch.calls);
+        if batch.owner == node.me {
+            let reply_to = owner::ReplyTo::Here(node.attempts.clone());
+            node.owner.search(&search, &reply_to);
+            return;
+        }
+        let calls = search.calls.clone();
+        if node.links.send(&batch.owner, peer_api::Frame::Search(search)).is_ok() {
+            return;
+        }
+        for call in calls {
+            let failure = peer_api::Failure::NotSent;
+            node.attempts.resolve(attempts::failed_reply(call.attempt, call.searcher, failure));
+        }
+    }
+
+    fn search(&self, calls: Vec<peer_api::ShardCall>) -> peer_api::Search {
+        let call = self.start.call;
+        let left = self.start.deadline.saturating_duration_since(tokio::time::Instant::now());
+        peer_api::Search {
+            query_id: self.start.query_id,
+            traceparent: self.start.traceparent.clone(),
+            service: call.service.clone(),
+            snapshot: self.snapshot,
+            query: call.query.clone(),
+            limit: call.limit,
+            rank: call.rank,
+            timeout_ms: left.as_millis() as u32,
+            weight: self.weight,
+            calls,
+        }
+    }
+
+    fn cancel(&mut self, open: Vec<query::OpenAttempt>) {
+        let node = self.start.node;
+        let mut batches: Vec<(ids::InstanceName, Vec<ids::AttemptId>)> = Vec::new();
+        for attempt in open {
+            node.attempts.close(attempt.attempt);
+            lock(&self.start.traffic).given_up(&attempt.searcher);
+            let Some(owner) = node.owner_of(&attempt.searcher) else {
+                continue;
+            };
+            match batches.iter_mut().find(|(known, _)| *known == owner) {
+                Some((_, attempts)) => attempts.push(attempt.attempt),
+                None => batches.push((owner, vec![attempt.attempt])),
+            }
+        }
+        for (owner, attempts) in batches {
+            if owner == node.me {
+                node.owner.cancel(&attempts);
+                continue;
+            }
+            if node.links.send(&owner, peer_api::Frame::Cancel(attempts)).is_err() {
+                tracing::debug!(%owner, "could not cancel");
+            }
+        }
+    }
+
+    /// Sends extra calls to slow searchers that are due for one. The query does not wait for them.
+    fn probe(&self, admitted: &traffic::Admitted) {
+        for call in &admitted.plan.calls {
+            let node = self.start.node;
+            let now_us = node.now_us();
+            let mut traffic = lock(&self.start.traffic);
+            let Some(probed) = traffic.probe(now_us, &admitted.layout, call) else {
+                continue;
+            };
+            let Some(searcher) = traffic.name(probed).cloned() else {
+                continue;
+            };
+            traffic.sent(&searcher);
+            drop(traffic);
+            self.send_probe(searcher, call);
+        }
+    }
+
+    fn send_probe(&self, searcher: ids::SearcherName, call: &choose::Call) {
+        let node = self.start.node;
+        let Some(owner) = node.owner_of(&searcher) else {
+            lock(&self.start.traffic).given_up(&searcher);
+            return;
+        };
+        let attempt = ids::AttemptId(rand::random());
+        let shards = call.shards.iter().copied().map(ids::ShardId).collect();
+        let call = peer_api::ShardCall { attempt, searcher: searcher.clone(), shards };
+        let (sender, mut receiver) = tokio::sync::mpsc::channel(1);
+        node.attempts.open(&call, &owner, &sender);
+        self.send(Batch { owner, calls: vec![call] });
+        let sent = time::Instant::now();
+        let sent_us = node.now_us();
+        let traffic = self.start.traffic.clone();
+        let attempts = node.attempts.clone();
+        let deadline = self.start.deadline;
+        tokio::spawn(async move {
+            let answered = tokio::time::timeout_at(deadline, receiver.recv()).await;
+            let latency_us = sent.elapsed().as_micros() as u64;
+            let mut traffic = lock(&traffic);
+            match answered {
+                Ok(Some(reply)) => traffic.ended(sent_us + latency_us, &reply, latency_us),
+                Ok(None) | Err(_) => {
+                    attempts.close(attempt);
+                    traffic.given_up(&searcher);
+                }
+            }
+        });
+    }
+}
+
+/// Whether a call failed for want of room: sending it elsewhere adds to a load that is too high.
+fn wants_room(reply: &peer_api::ShardReply) -> bool {
+    let peer_api::ShardOutcome::Failed(failure) = reply.outcome else {
+        return false;
+    };
+    match failure {
+        peer_api::Failure::Overloaded | peer_api::Failure::DeadlinePast => true,
+        peer_api::Failure::Refused(refusal) => refusal == searcher_api::Refusal::Shed,
+        _ => false,
+    }
+}
+
+fn lock(traffic: &traffic::Shared) -> sync::MutexGuard<'_, traffic::Traffic> {
+    traffic.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
--- a/src/duty.rs
+++ b/src/duty.rs
@@ -83,13 +83,17 @@
         node.world.peers.store(peers.clone());
         let directory = node.world.directory.load_full();
         let settings = node.settings.load_full();
-        node.owner.follow(&peers, &directory, |service| limits(&settings, service));
+        node.owner.follow(&peers, &directory, |service| limits(&settings, service, node.policy));
         node.links.follow(&peers, &serve);
         tokio::time::sleep(FOLLOW_PERIOD).await;
     }
 }
 
-fn limits(settings: &settings::Settings, service: &ids::ServiceName) -> Option<searcher::Limits> {
+fn limits(
+    settings: &settings::Settings,
+    service: &ids::ServiceName,
+    policy_kind: policy::Policy,
+) -> Option<searcher::Limits> {
     let policy = settings.service(service)?;
     let mut floors_percent = [0; rank::RANK_COUNT];
     for rank in rank::Rank::ALL {
@@ -100,7 +104,7 @@
         slots: policy.slots_per_searcher,
         connections: policy.connections_per_searcher,
         floors_percent,
-        policy: policy::Policy::Full,
+        policy: policy_kind,
     })
 }
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -2,6 +2,7 @@
 
 use crate::attempts;
 use crate::caller_api;
+use crate::drive;
 use crate::gate;
 use crate::gossip;
 use crate::holdings;
@@ -11,17 +12,15 @@
 use crate::owner;
 use crate::peer_api;
 use crate::peers;
+use crate::policy;
 use crate::query;
-use crate::route;
 use crate::settings;
 use crate::snapshot;
+use crate::traffic;
 use compact_str::CompactString;
 use std::sync;
 use std::time;
 
-/// How many outcomes of one query may wait to be taken in.
-const REPLIES_QUEUE: usize = 1_024;
-
 /// The most addresses in one answer.
 const ADDRESSES_MAX: usize = 8;
 
@@ -52,6 +51,10 @@
     pub home: home::Home,
     /// The searchers owned.
     pub owner: sync::Arc<owner::Owner>,
+    /// The traffic by service.
+    pub traffics: traffic::Traffics,
+    /// The policy.
+    pub policy: policy::Policy,
     /// Whether requests are taken.
     pub gate: gate::Gate,
     /// When the process started.
@@ -67,6 +70,11 @@
 }
 
 impl Node {
+    /// Microseconds since the process started.
+    pub fn now_us(&self) -> u64 {
+        self.started.elapsed().as_micros() as u64
+    }
+
     /// Milliseconds since the process started.
     pub fn now_ms(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
@@ -86,6 +94,7 @@
             }
             next
         });
+        self.traffics.forget_layouts();
     }
 
     /// Answers a search.
@@ -102,37 +111,35 @@
         let started = tokio::time::Instant::now();
         let deadline = started + time::Duration::from_millis(call.deadline_ms.into());
         let query_id = ids::QueryId(rand::random());
+        let start = drive::Start {
+            node: self,
+            call: &call,
+            query_id,
+            traceparent: &traceparent,
+            deadline,
+            traffic: self.traffic(&call.service),
+        };
         let mut effort = caller_api::Effort::default();
         let mut first_attempt = 0;
         let mut gone: Option<snapshot::Snapshot> = None;
         loop {
-            let holdings = self.holdings.load();
-            let Some(replicas) = holdings.newest_complete(&call.service, gone) else {
+            let Some(replicas) = self.holdings.load().newest_complete(&call.service, gone) else {
                 let code = caller_api::ErrorCode::NoSnapshot;
                 return Err(refuse(code, "no snapshot of the service is complete"));
             };
-            let snapshot = replicas.snapshot;
-            let terms = query::Terms {
-                query_id,
-                first_attempt,
-                snapshot,
-                shard_count: replicas.shards.len() as u32,
-                limit: call.limit,
-                effort,
-            };
-            let chooser = self.chooser(replicas, query_id);
-            let run =
-                Run { node: self, call: &call, query_id, traceparent: &traceparent, deadline };
-            let (end, next_attempt) = run.drive(terms, chooser).await;
-            match end {
-                query::End::SnapshotGone(spent) => {
+            match start.run(&replicas, first_attempt, effort).await {
+                drive::Ended::NotAdmitted => {
+                    let code = caller_api::ErrorCode::Overloaded;
+                    return Err(refuse(code, "the rank's share of the service is used up"));
+                }
+                drive::Ended::Ran { end: query::End::Answer(partial), .. } => {
+                    return answer(query_id, replicas.snapshot, partial);
+                }
+                drive::Ended::Ran { end: query::End::SnapshotGone(spent), next_attempt } => {
                     effort = spent;
                     effort.restarts += 1;
                     first_attempt = next_attempt;
-                    gone = Some(snapshot);
-                }
-                query::End::Answer(partial) => {
-                    return answer(query_id, snapshot, partial);
+                    gone = Some(replicas.snapshot);
                 }
             }
         }
@@ -159,21 +166,29 @@
         Ok(())
     }
 
-    fn chooser(&self, replicas: holdings::Replicas, query_id: ids::QueryId) -> route::Nearest {
+    /// The traffic of a service, with its searchers as they are known now.
+    fn traffic(&self, service: &ids::ServiceName) -> traffic::Shared {
+        let shared = self.traffics.of(service, self.policy);
+        let hedge_percent =
+            self.settings.load().service(service).map_or(0, |policy| policy.hedge_percent);
+        let known = self.known_searchers(service);
+        let mut traffic = shared.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        traffic.follow(&known, hedge_percent);
+        drop(traffic);
+        shared
+    }
+
+    fn known_searchers(&self, service: &ids::ServiceName) -> Vec<traffic::Known> {
         let directory = self.world.directory.load();
-        let mut distances = Vec::new();
-        for searcher in replicas.shards.iter().flatten() {
-            let distance = match directory.find(searcher) {
-                Some(listed) => {
-                    self.place.distance(&listed.place.region, &listed.place.failure_domain)
-                }
-                None => peers::Distance::OtherRegion,
-            };
-            distances.push(route::Far { searcher: searcher.clone(), distance });
+        let mut known = Vec::new();
+        for listed in directory.all() {
+            if listed.service != *service {
+                continue;
+            }
+            let distance = self.place.distance(&listed.place.region, &listed.place.failure_domain);
+            known.push(traffic::Known { searcher: listed.searcher.clone(), distance });
         }
-        distances.sort_by(|left, right| left.searcher.cmp(&right.searcher));
-        distances.dedup();
-        route::Nearest { replicas, distances, query_id }
+        known
     }
 
     /// The instance that owns a searcher.
@@ -207,134 +222,6 @@
     })
 }
 
-/// One start of a query.
-struct Run<'a> {
-    node: &'a Node,
-    call: &'a caller_api::SearchCall,
-    query_id: ids::QueryId,
-    traceparent: &'a CompactString,
-    deadline: tokio::time::Instant,
-}
-
-impl Run<'_> {
-    async fn drive(&self, terms: query::Terms, chooser: route::Nearest) -> (query::End, u64) {
-        let (sender, mut receiver) = tokio::sync::mpsc::channel(REPLIES_QUEUE);
-        let snapshot = terms.snapshot;
-        let (mut query, outputs) = query::Query::start(self.node.now_ms(), terms, chooser);
-        let mut outputs = outputs;
-        loop {
-            if let Some(end) = self.act(outputs, snapshot, &sender) {
-                return (end, query.next_attempt());
-            }
-            outputs = match tokio::time::timeout_at(self.deadline, receiver.recv()).await {
-                Ok(Some(reply)) => query.reply(self.node.now_ms(), reply),
-                Ok(None) | Err(_) => query.expire(),
-            };
-        }
-    }
-
-    fn act(
-        &self,
-        outputs: Vec<query::Output>,
-        snapshot: snapshot::Snapshot,
-        sender: &attempts::ReplySender,
-    ) -> Option<query::End> {
-        let mut batches: Vec<Batch> = Vec::new();
-        let mut end = None;
-        for output in outputs {
-            match output {
-                query::Output::Send(call) => self.add(&mut batches, call, sender),
-                query::Output::Cancel(open) => self.cancel(open),
-                query::Output::Done(ended) => end = Some(ended),
-            }
-        }
-        for batch in batches {
-            self.send(batch, snapshot);
-        }
-        end
-    }
-
-    fn add(
-        &self,
-        batches: &mut Vec<Batch>,
-        call: peer_api::ShardCall,
-        sender: &attempts::ReplySender,
-    ) {
-        let Some(owner) = self.node.owner_of(&call.searcher) else {
-            let failure = peer_api::Failure::NotOwner;
-            let reply = attempts::failed_reply(call.attempt, call.searcher, failure);
-            if sender.try_send(reply).is_err() {
-                tracing::warn!("more outcomes than a query takes");
-            }
-            return;
-        };
-        self.node.attempts.open(&call, &owner, sender);
-        match batches.iter_mut().find(|batch| batch.owner == owner) {
-            Some(batch) => batch.calls.push(call),
-            None => batches.push(Batch { owner, calls: vec![call] }),
-        }
-    }
-
-    fn send(&self, batch: Batch, snapshot: snapshot::Snapshot) {
-        let left = self.deadline.saturating_duration_since(tokio::time::Instant::now());
-        let search = peer_api::Search {
-            query_id: self.query_id,
-            traceparent: self.traceparent.clone(),
-            service: self.call.service.clone(),
-            snapshot,
-            query: self.call.query.clone(),
-            limit: self.call.limit,
-            rank: self.call.rank,
-            timeout_ms: left.as_millis() as u32,
-            weight: 1.0,
-            calls: batch.calls,
-        };
-        if batch.owner == self.node.me {
-            let reply_to = owner::ReplyTo::Here(self.node.attempts.clone());
-            self.node.owner.search(&search, &reply_to);
-            return;
-        }
-        let calls = search.calls.clone();
-        if self.node.links.send(&batch.owner, peer_api::Frame::Search(search)).is_ok() {
-            return;
-        }
-        for call in calls {
-            let failure = peer_api::Failure::NotSent;
-            let reply = attempts::failed_reply(call.attempt, call.searcher, failure);
-            self.node.attempts.resolve(reply);
-        }
-    }
-
-    fn cancel(&self, open: Vec<query::OpenAttempt>) {
-        let mut batches: Vec<(ids::InstanceName, Vec<ids::AttemptId>)> = Vec::new();
-        for attempt in open {
-            self.node.attempts.close(attempt.attempt);
-            let Some(owner) = self.node.owner_of(&attempt.searcher) else {
-                continue;
-            };
-            match batches.iter_mut().find(|(known, _)| *known == owner) {
-                Some((_, attempts)) => attempts.push(attempt.attempt),
-                None => batches.push((owner, vec![attempt.attempt])),
-            }
-        }
-        for (owner, attempts) in batches {
-            if owner == self.node.me {
-                self.node.owner.cancel(&attempts);
-                continue;
-            }
-            if self.node.links.send(&owner, peer_api::Frame::Cancel(attempts)).is_err() {
-                tracing::debug!(%owner, "could not cancel");
-            }
-        }
-    }
-}
-
-/// The calls for one owner.
-struct Batch {
-    owner: ids::InstanceName,
-    calls: Vec<peer_api::ShardCall>,
-}
-
 /// Where a caller says to be.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Near {
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -16,6 +16,7 @@
 use crate::seal;
 use crate::serve;
 use crate::settings;
+use crate::traffic;
 use error_stack::ResultExt as _;
 use std::net;
 use std::sync;
@@ -102,6 +103,8 @@
         links: sync::Arc::new(links),
         home: home::Home::new(me.clone(), boot),
         owner: sync::Arc::new(owner::Owner::new(me)),
+        traffics: traffic::Traffics::default(),
+        policy: config.policy,
         gate: gate::Gate::default(),
         started: time::Instant::now(),
     });
--- a/src/peer_api.rs
+++ b/src/peer_api.rs
@@ -115,6 +115,8 @@
 pub struct OwnerLoad {
     /// The share of each rank's queries to admit.
     pub fractions: admit::Fractions,
+    /// Slots that may be used.
+    pub slots: u16,
     /// Calls at the searcher.
     pub in_flight: u16,
     /// Calls that wait for a slot.
--- a/src/searcher.rs
+++ b/src/searcher.rs
@@ -51,9 +51,13 @@
     reported: Option<peer_api::SearcherReport>,
 }
 
+/// Tells a waiting call to start, or why not.
+type GoSender = tokio::sync::oneshot::Sender<Result<(), peer_api::Failure>>;
+type GoReceiver = tokio::sync::oneshot::Receiver<Result<(), peer_api::Failure>>;
+
 struct Waiting {
     attempt: ids::AttemptId,
-    go: tokio::sync::oneshot::Sender<Result<(), peer_api::Failure>>,
+    go: GoSender,
 }
 
 struct Queue {
@@ -160,8 +164,10 @@
         let now_us = self.now_us();
         let mut queue = lock(&self.queue);
         let usable = queue.slots.usable_slots();
+        let queued = queue.slots.queued_by_rank();
         peer_api::OwnerLoad {
-            fractions: queue.admission.fractions(now_us, usable),
+            fractions: queue.admission.fractions(now_us, usable, queued),
+            slots: usable as u16,
             in_flight: queue.slots.in_use() as u16,
             queued: queue.slots.queued() as u16,
             service_time_us: queue.slots.service_us(rank::Rank::Standard) as u32,
@@ -277,14 +283,7 @@
         Ok(held)
     }
 
-    #[allow(clippy::type_complexity)]
-    fn offer(
-        &self,
-        want: Want,
-    ) -> Result<
-        (Held<'_>, Option<tokio::sync::oneshot::Receiver<Result<(), peer_api::Failure>>>),
-        peer_api::Failure,
-    > {
+    fn offer(&self, want: Want) -> Result<(Held<'_>, Option<GoReceiver>), peer_api::Failure> {
         let now_us = self.now_us();
         let left = want.deadline.saturating_duration_since(tokio::time::Instant::now());
         let ticket = slots::Ticket {
--- /dev/null
+++ b/src/traffic.rs
@@ -0,0 +1,357 @@
+//! What an entry knows of the traffic of one service: admission, choice of searchers, hedges.
+
+use crate::admit;
+use crate::choose;
+use crate::hedge;
+use crate::holdings;
+use crate::ids;
+use crate::peer_api;
+use crate::peers;
+use crate::policy;
+use crate::query;
+use crate::rank;
+use crate::snapshot;
+use std::sync;
+
+/// How often a slow searcher is probed by an extra call, in microseconds.
+const PROBE_INTERVAL_US: u64 = 1_000_000;
+
+/// The traffic of one service, as this entry has seen it.
+#[derive(Debug)]
+pub struct Traffic {
+    searchers: Vec<ids::SearcherName>,
+    distances: Vec<peers::Distance>,
+    chooser: choose::Chooser,
+    hedger: hedge::Hedger,
+    gate: admit::Gate,
+    layout: Option<(snapshot::Snapshot, sync::Arc<choose::Layout>)>,
+    policy: policy::Policy,
+    hedge_percent: u8,
+}
+
+/// The traffic of one service, shared by its queries.
+pub type Shared = sync::Arc<sync::Mutex<Traffic>>;
+
+/// A query that was admitted.
+#[derive(Clone, Debug)]
+pub struct Admitted {
+    /// How many offered queries it stands for.
+    pub weight: f32,
+    /// Its calls.
+    pub plan: choose::Plan,
+    /// Who holds what.
+    pub layout: sync::Arc<choose::Layout>,
+}
+
+/// One searcher of a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Known {
+    /// The searcher.
+    pub searcher: ids::SearcherName,
+    /// Its distance.
+    pub distance: peers::Distance,
+}
+
+impl Traffic {
+    /// Nothing seen yet.
+    pub fn new(policy: policy::Policy, hedge_percent: u8) -> Self {
+        Self {
+            searchers: Vec::new(),
+            distances: Vec::new(),
+            chooser: choose::Chooser::new(policy, [], PROBE_INTERVAL_US),
+            hedger: hedge::Hedger::new(hedge_percent),
+            gate: admit::Gate::new(0),
+            layout: None,
+            policy,
+            hedge_percent,
+        }
+    }
+
+    /// Follows the service's searchers (sorted) and its share of hedges. What was seen of them is
+    /// forgotten if they are not the same.
+    pub fn follow(&mut self, known: &[Known], hedge_percent: u8) {
+        if self.hedge_percent != hedge_percent {
+            self.hedger = hedge::Hedger::new(hedge_percent);
+            self.hedge_percent = hedge_percent;
+        }
+        let same = known.len() == self.searchers.len()
+            && known.iter().zip(&self.searchers).all(|(known, name)| known.searcher == *name)
+            && known.iter().zip(&self.distances).all(|(known, far)| known.distance == *far);
+        if same {
+            return;
+        }
+        self.searchers = known.iter().map(|known| known.searcher.clone()).collect();
+        self.distances = known.iter().map(|known| known.distance).collect();
+        let distances: Vec<choose::Distance> =
+            self.distances.iter().map(|distance| far(*distance)).collect();
+        self.chooser = choose::Chooser::new(self.policy, distances, PROBE_INTERVAL_US);
+        self.gate = admit::Gate::new(self.searchers.len());
+        self.layout = None;
+    }
+
+    /// Plans a query and decides on its admission.
+    pub fn admit(
+        &mut self,
+        now_us: u64,
+        query: ids::QueryId,
+        rank: rank::Rank,
+        replicas: &holdings::Replicas,
+    ) -> Option<Admitted> {
+        let layout = self.layout(replicas);
+        let plan = self.chooser.choose(now_us, &layout, query.0);
+        let weight = match self.policy {
+            policy::Policy::Plain => 1.0,
+            policy::Policy::Full => match self.gate.decide(now_us, query, rank, &layout, &plan) {
+                admit::Admission::Admit { weight } => weight,
+                admit::Admission::Refuse => return None,
+            },
+        };
+        self.hedger.needed(plan.calls.len() as u32);
+        Some(Admitted { weight, plan, layout })
+    }
+
+    /// The name of a searcher.
+    pub fn name(&self, searcher: u16) -> Option<&ids::SearcherName> {
+        self.searchers.get(usize::from(searcher))
+    }
+
+    /// The index of a searcher.
+    pub fn index(&self, searcher: &ids::SearcherName) -> Option<u16> {
+        let index = self.searchers.binary_search(searcher).ok()?;
+        Some(index as u16)
+    }
+
+    /// Counts a call that was sent.
+    pub fn sent(&mut self, searcher: &ids::SearcherName) {
+        if let Some(index) = self.index(searcher) {
+            self.chooser.sent(index);
+        }
+    }
+
+    /// Counts a call that ended without an outcome.
+    pub fn given_up(&mut self, searcher: &ids::SearcherName) {
+        if let Some(index) = self.index(searcher) {
+            self.chooser.ended(index);
+        }
+    }
+
+    /// Takes an outcome that came `latency_us` after its call was sent.
+    pub fn ended(&mut self, now_us: u64, reply: &peer_api::ShardReply, latency_us: u64) {
+        let Some(index) = self.index(&reply.searcher) else {
+            return;
+        };
+        self.chooser.ended(index);
+        if let Some(load) = reply.load {
+            self.gate.learn(now_us, index, load.fractions);
+            let report = choose::Report {
+                slots: load.slots,
+                in_use: load.in_flight,
+                queued: load.queued,
+                service_us: load.service_time_us,
+            };
+            self.chooser.reported(index, report);
+        }
+        match reply.outcome {
+            peer_api::ShardOutcome::Answered { .. } => {
+                self.chooser.answered(now_us, index, latency_us);
+                self.hedger.answered(latency_us);
+            }
+            peer_api::ShardOutcome::Failed(peer_api::Failure::Lost) => {
+                self.chooser.overdue(now_us, index, latency_us);
+            }
+            peer_api::ShardOutcome::Failed(_) => {}
+        }
+    }
+
+    /// How long to wait for an answer before a hedge, in microseconds.
+    pub fn hedge_delay_us(&self) -> Option<u64> {
+        match self.policy {
+            policy::Policy::Plain => None,
+            policy::Policy::Full => self.hedger.delay_us(),
+        }
+    }
+
+    /// Whether an overdue call may be hedged. Notes that it is overdue.
+    pub fn may_hedge(
+        &mut self,
+        now_us: u64,
+        rank: rank::Rank,
+        searcher: &ids::SearcherName,
+        age_us: u64,
+    ) -> bool {
+        let Some(index) = self.index(searcher) else {
+            return false;
+        };
+        self.chooser.overdue(now_us, index, age_us);
+        let saturated = self.saturated(now_us, rank);
+        self.hedger.hedge(saturated)
+    }
+
+    /// Whether a call that was refused for want of room may be sent elsewhere.
+    pub fn may_retry(&mut self, now_us: u64, rank: rank::Rank) -> bool {
+        let saturated = self.saturated(now_us, rank);
+        self.hedger.retry(saturated)
+    }
+
+    /// A slow searcher that is due for an extra call, beside a call that is needed.
+    pub fn probe(
+        &mut self,
+        now_us: u64,
+        layout: &choose::Layout,
+        call: &choose::Call,
+    ) -> Option<u16> {
+        let probed = self.chooser.probe(now_us, layout, call)?;
+        if !self.hedger.hedge(false) {
+            return None;
+        }
+        Some(probed)
+    }
+
+    /// Another searcher for the shards of a call; none among those that were tried.
+    pub fn alternative(
+        &self,
+        now_us: u64,
+        layout: &choose::Layout,
+        call: &choose::Call,
+        tried: &[u16],
+    ) -> Option<u16> {
+        self.chooser.alternative(now_us, layout, call, tried)
+    }
+
+    /// Whether the owners of most searchers admit less than all of the rank's work.
+    fn saturated(&self, now_us: u64, rank: rank::Rank) -> bool {
+        let mut full = 0;
+        for index in 0..self.searchers.len() {
+            if self.gate.share(now_us, index as u16, rank) < 1.0 {
+                full += 1;
+            }
+        }
+        full * 2 > self.searchers.len()
+    }
+
+    fn layout(&mut self, replicas: &holdings::Replicas) -> sync::Arc<choose::Layout> {
+        if let Some((snapshot, layout)) = &self.layout
+            && *snapshot == replicas.snapshot
+        {
+            return layout.clone();
+        }
+        let mut holders = Vec::with_capacity(replicas.shards.len());
+        for searchers in &replicas.shards {
+            let indices = searchers.iter().filter_map(|searcher| self.index(searcher)).collect();
+            holders.push(indices);
+        }
+        let layout = sync::Arc::new(choose::Layout::new(self.searchers.len(), holders));
+        self.layout = Some((replicas.snapshot, layout.clone()));
+        layout
+    }
+
+    /// Forgets the layout, since holders have changed.
+    pub fn forget_layout(&mut self) {
+        self.layout = None;
+    }
+}
+
+/// The traffic of all services, sorted by service.
+#[derive(Debug, Default)]
+pub struct Traffics {
+    services: sync::RwLock<Vec<(ids::ServiceName, Shared)>>,
+}
+
+impl Traffics {
+    /// The traffic of a service; a new one if there is none yet.
+    pub fn of(&self, service: &ids::ServiceName, policy: policy::Policy) -> Shared {
+        {
+            let services = self.services.read().unwrap_or_else(sync::PoisonError::into_inner);
+            if let Ok(index) = services.binary_search_by(|(name, _)| name.cmp(service))
+                && let Some((_, shared)) = services.get(index)
+            {
+                return shared.clone();
+            }
+        }
+        let mut services = self.services.write().unwrap_or_else(sync::PoisonError::into_inner);
+        let shared = sync::Arc::new(sync::Mutex::new(Traffic::new(policy, 0)));
+        match services.binary_search_by(|(name, _)| name.cmp(service)) {
+            Ok(index) => services.get(index).map_or(shared, |(_, known)| known.clone()),
+            Err(index) => {
+                services.insert(index, (service.clone(), shared.clone()));
+                shared
+            }
+        }
+    }
+
+    /// Forgets who holds what, since it has changed.
+    pub fn forget_layouts(&self) {
+        let services = self.services.read().unwrap_or_else(sync::PoisonError::into_inner);
+        for (_, shared) in services.iter() {
+            shared.lock().unwrap_or_else(sync::PoisonError::into_inner).forget_layout();
+        }
+    }
+}
+
+fn far(distance: peers::Distance) -> choose::Distance {
+    match distance {
+        peers::Distance::SameDomain => choose::Distance::SameDomain,
+        peers::Distance::SameRegion => choose::Distance::SameRegion,
+        peers::Distance::OtherRegion => choose::Distance::OtherRegion,
+    }
+}
+
+/// Gives a query its planned calls first, and other searchers for what failed.
+#[derive(Debug)]
+pub struct Routed {
+    traffic: Shared,
+    layout: sync::Arc<choose::Layout>,
+    planned: Option<choose::Plan>,
+    /// The time of the next choice, in microseconds.
+    pub now_us: u64,
+    /// Whether the next choice is to come out empty, since the budget for retries is used up.
+    pub denied: bool,
+}
+
+impl Routed {
+    /// For an admitted query.
+    pub fn new(traffic: Shared, admitted: Admitted) -> Self {
+        Self {
+            traffic,
+            layout: admitted.layout,
+            planned: Some(admitted.plan),
+            now_us: 0,
+            denied: false,
+        }
+    }
+}
+
+impl query::Choose for Routed {
+    fn choose(
+        &mut self,
+        shards: &[(ids::ShardId, &[ids::SearcherName])],
+    ) -> Vec<(ids::SearcherName, Vec<ids::ShardId>)> {
+        if std::mem::take(&mut self.denied) {
+            return Vec::new();
+        }
+        let traffic = self.traffic.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let mut chosen: Vec<(ids::SearcherName, Vec<ids::ShardId>)> = Vec::new();
+        if let Some(plan) = self.planned.take() {
+            for call in plan.calls {
+                let Some(name) = traffic.name(call.searcher) else {
+                    continue;
+                };
+                chosen.push((name.clone(), call.shards.into_iter().map(ids::ShardId).collect()));
+            }
+            return chosen;
+        }
+        for (shard, avoid) in shards {
+            let tried: Vec<u16> = avoid.iter().filter_map(|name| traffic.index(name)).collect();
+            let call = choose::Call { searcher: 0, shards: vec![shard.0] };
+            let other = traffic.alternative(self.now_us, &self.layout, &call, &tried);
+            let Some(name) = other.and_then(|index| traffic.name(index)) else {
+                continue;
+            };
+            match chosen.iter_mut().find(|(known, _)| known == name) {
+                Some((_, shards)) => shards.push(*shard),
+                None => chosen.push((name.clone(), vec![*shard])),
+            }
+        }
+        chosen
+    }
+}
--- a/tests/query.rs
+++ b/tests/query.rs
@@ -1,12 +1,9 @@
 //! One snapshot, true coverage, whole answers: the query's state machine under faults.
 
 use tarragondoor::caller_api;
-use tarragondoor::holdings;
 use tarragondoor::ids;
 use tarragondoor::peer_api;
-use tarragondoor::peers;
 use tarragondoor::query;
-use tarragondoor::route;
 use tarragondoor::searcher_api;
 use tarragondoor::snapshot;
 
@@ -24,34 +21,39 @@
     format!("s{number}").parse().expect("a valid name")
 }
 
-/// Four searchers; searcher n holds the shards n and n + 1.
-fn replicas() -> holdings::Replicas {
-    let mut shards = Vec::new();
-    for shard in 0..SHARDS {
-        let mut holders = vec![searcher(shard), searcher((shard + SHARDS - 1) % SHARDS)];
-        holders.sort();
-        shards.push(holders);
+/// Four searchers; searcher n holds the shards n and n + 1. Asks the first that may be asked.
+struct FirstHolder;
+
+impl query::Choose for FirstHolder {
+    fn choose(
+        &mut self,
+        shards: &[(ids::ShardId, &[ids::SearcherName])],
+    ) -> Vec<(ids::SearcherName, Vec<ids::ShardId>)> {
+        let mut chosen: Vec<(ids::SearcherName, Vec<ids::ShardId>)> = Vec::new();
+        for (shard, avoid) in shards {
+            let holders = [searcher(shard.0), searcher((shard.0 + SHARDS - 1) % SHARDS)];
+            let Some(holder) = holders.into_iter().find(|holder| !avoid.contains(holder)) else {
+                continue;
+            };
+            match chosen.iter_mut().find(|(known, _)| *known == holder) {
+                Some((_, shards)) => shards.push(*shard),
+                None => chosen.push((holder, vec![*shard])),
+            }
+        }
+        chosen
     }
-    holdings::Replicas { snapshot: snap(7), shards }
 }
 
-fn start() -> (query::Query<route::Nearest>, Vec<query::Output>) {
-    let mut distances = Vec::new();
-    for number in 0..SHARDS {
-        let distance = peers::Distance::SameDomain;
-        distances.push(route::Far { searcher: searcher(number), distance });
-    }
-    let query_id = ids::QueryId(1_000);
-    let chooser = route::Nearest { replicas: replicas(), distances, query_id };
+fn start() -> (query::Query<FirstHolder>, Vec<query::Output>) {
     let terms = query::Terms {
-        query_id,
+        query_id: ids::QueryId(1_000),
         first_attempt: 0,
         snapshot: snap(7),
         shard_count: SHARDS,
         limit: LIMIT,
         effort: caller_api::Effort::default(),
     };
-    query::Query::start(0, terms, chooser)
+    query::Query::start(0, terms, FirstHolder)
 }
 
 fn hits(shard: ids::ShardId, at: snapshot::Snapshot) -> searcher_api::ShardHits {
