Command-line client

Cause: operators and callers need a program, and the proofs need a caller that behaves as the contract asks.

The client keeps the address answer for its time to live and goes on to another instance only where that is safe. `run` takes a new key while nothing can have been received, and repeats its key from then on; a refusal that comes after a try in doubt is not reported as "not run". `confirm` asks no other server once one may have received the plan: the second could see the first's commit as a conflict. Ruled out: retrying a refused search, which would add load when there is too much of it.

Not tested here against real instances. No measurement.

--- /dev/null
+++ b/src/client.rs
@@ -0,0 +1,194 @@
+//! HTTP calls to instances, with a bound on the time of each.
+
+pub mod caller;
+
+use crate::caller_api;
+use crate::operator_api;
+use crate::trace;
+use compact_str::CompactString;
+use compact_str::ToCompactString as _;
+use serde::{Deserialize, Serialize};
+use std::error;
+use std::io;
+use std::net;
+use std::time;
+use volo_http::body::BodyConversion as _;
+use volo_http::http;
+
+/// The longest time to open a connection.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(2_000);
+
+/// The most idle connections kept to one instance.
+const IDLE_MAX_PER_INSTANCE: usize = 256;
+
+/// Why a call has no answer of the kind asked for.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CallError {
+    /// No byte left: the request can't have been received.
+    #[error("{0} can't be reached")]
+    Unreachable(net::SocketAddr),
+    /// No answer came in time.
+    #[error("{0} did not answer in time")]
+    TimedOut(net::SocketAddr),
+    /// The connection broke.
+    #[error("the connection to {0} broke: {1}")]
+    Broken(net::SocketAddr, CompactString),
+    /// The answer is not what the contract says.
+    #[error("{0} gave an answer that is not understood: {1}")]
+    Malformed(net::SocketAddr, CompactString),
+    /// The instance refused the request; nothing was run.
+    #[error("{0} refused: {message}", message = .1.message)]
+    Refused(net::SocketAddr, caller_api::ErrorReply),
+    /// The settings document can't be used.
+    #[error("the settings can't be used")]
+    Findings(Vec<operator_api::Finding>),
+    /// There is no instance to ask.
+    #[error("no instance is known")]
+    NoInstance,
+    /// The request can't be written.
+    #[error("the request can't be written: {0}")]
+    Request(CompactString),
+}
+
+impl CallError {
+    /// Whether the request can't have been received by anybody.
+    pub fn never_received(&self) -> bool {
+        matches!(self, CallError::Unreachable(_) | CallError::NoInstance | CallError::Request(_))
+    }
+
+    /// Whether another instance may do better.
+    pub fn is_worth_another(&self) -> bool {
+        match self {
+            CallError::Refused(_, reply) => matches!(
+                reply.code,
+                caller_api::ErrorCode::NotReady | caller_api::ErrorCode::Stopping
+            ),
+            CallError::Findings(_) | CallError::NoInstance | CallError::Request(_) => false,
+            CallError::Unreachable(_)
+            | CallError::TimedOut(_)
+            | CallError::Broken(..)
+            | CallError::Malformed(..) => true,
+        }
+    }
+}
+
+/// One call.
+#[derive(Clone, Copy, Debug)]
+pub struct Call<'a, B> {
+    /// The path with its query.
+    pub path: &'a str,
+    /// The body; none makes it a `GET`.
+    pub body: Option<&'a B>,
+    /// The operators' token, if the call needs it.
+    pub token: Option<&'a str>,
+    /// The trace that the call belongs to.
+    pub trace: trace::TraceContext,
+    /// How long to wait for the whole answer.
+    pub timeout: time::Duration,
+}
+
+/// An HTTP client with its connections.
+pub struct Client {
+    http: volo_http::client::Client,
+}
+
+impl Client {
+    /// A client without connections.
+    pub fn new() -> Result<Self, CallError> {
+        let mut builder = volo_http::client::Client::builder();
+        builder.set_connect_timeout(CONNECT_TIMEOUT);
+        builder.set_max_idle_per_host(IDLE_MAX_PER_INSTANCE);
+        let http =
+            builder.build().map_err(|error| CallError::Request(error.to_compact_string()))?;
+        Ok(Self { http })
+    }
+
+    /// Calls the instance at `address`.
+    pub async fn call<B, T>(
+        &self,
+        address: net::SocketAddr,
+        call: Call<'_, B>,
+    ) -> Result<T, CallError>
+    where
+        B: Serialize,
+        T: for<'de> Deserialize<'de>,
+    {
+        match tokio::time::timeout(call.timeout, self.call_unbounded(address, call)).await {
+            Ok(result) => result,
+            Err(_) => Err(CallError::TimedOut(address)),
+        }
+    }
+
+    async fn call_unbounded<B, T>(
+        &self,
+        address: net::SocketAddr,
+        call: Call<'_, B>,
+    ) -> Result<T, CallError>
+    where
+        B: Serialize,
+        T: for<'de> Deserialize<'de>,
+    {
+        let method = if call.body.is_some() { http::Method::POST } else { http::Method::GET };
+        let uri = format!("http://{address}{}", call.path);
+        let mut request = self.http.request(method, uri);
+        request = request.header(trace::TRACEPARENT, call.trace.to_string());
+        if let Some(token) = call.token {
+            request = request.header(http::header::AUTHORIZATION, format!("Bearer {token}"));
+        }
+        if let Some(body) = call.body {
+            request = request.json(body);
+        }
+        let response = request.send().await.map_err(|error| broken(address, &error))?;
+        let status = response.status();
+        let body = response.into_body().into_vec().await;
+        let body = body.map_err(|error| CallError::Broken(address, error.to_compact_string()))?;
+        read_answer(address, status, &body)
+    }
+}
+
+fn read_answer<T>(
+    address: net::SocketAddr,
+    status: http::StatusCode,
+    body: &[u8],
+) -> Result<T, CallError>
+where
+    T: for<'de> Deserialize<'de>,
+{
+    if status == http::StatusCode::OK {
+        return serde_json::from_slice(body)
+            .map_err(|error| CallError::Malformed(address, error.to_compact_string()));
+    }
+    if let Ok(reply) = serde_json::from_slice::<caller_api::ErrorReply>(body) {
+        return Err(CallError::Refused(address, reply));
+    }
+    if status == http::StatusCode::UNPROCESSABLE_ENTITY
+        && let Ok(reply) = serde_json::from_slice::<operator_api::FindingsReply>(body)
+    {
+        return Err(CallError::Findings(reply.findings));
+    }
+    Err(CallError::Malformed(address, CompactString::from(format!("status {status}"))))
+}
+
+fn broken(address: net::SocketAddr, error: &volo_http::error::ClientError) -> CallError {
+    let mut cause: Option<&(dyn error::Error + 'static)> = Some(error);
+    while let Some(current) = cause {
+        if let Some(io_error) = current.downcast_ref::<io::Error>()
+            && is_unreachable(io_error.kind())
+        {
+            return CallError::Unreachable(address);
+        }
+        cause = current.source();
+    }
+    CallError::Broken(address, error.to_compact_string())
+}
+
+/// Kinds that only the opening of a connection fails with.
+fn is_unreachable(kind: io::ErrorKind) -> bool {
+    matches!(
+        kind,
+        io::ErrorKind::ConnectionRefused
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable
+            | io::ErrorKind::AddrNotAvailable
+    )
+}
--- /dev/null
+++ b/src/client/caller.rs
@@ -0,0 +1,259 @@
+//! A caller that behaves as the contract asks: it keeps the address answer for its time to live,
+//! tries another instance when that is safe, and repeats the idempotency key when it retries.
+
+use crate::caller_api;
+use crate::client;
+use crate::ids;
+use crate::key;
+use crate::rank;
+use crate::trace;
+use compact_str::CompactString;
+use std::net;
+use std::sync;
+use std::time;
+
+/// The most instances that one request is sent to.
+const TRIES_MAX: usize = 3;
+
+/// How long to wait for an address answer.
+const ADDRESSES_TIMEOUT: time::Duration = time::Duration::from_millis(2_000);
+
+/// The least time that is left for a try.
+const TRY_MIN: time::Duration = time::Duration::from_millis(5);
+
+/// How long an instance may take to answer after the deadline, which it keeps itself.
+const ANSWER_GRACE: time::Duration = time::Duration::from_millis(250);
+
+/// The pause before a request in doubt is asked about again.
+const DOUBT_PAUSE: time::Duration = time::Duration::from_millis(20);
+
+/// A non-idempotent request.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The service.
+    pub service: ids::ServiceName,
+    /// The operation.
+    pub operation: ids::OperationName,
+    /// What it is applied to.
+    pub subject: CompactString,
+    /// The key of an earlier call, which may have run; none if there was no earlier call.
+    pub key: Option<key::Key>,
+    /// The urgency.
+    pub rank: rank::Rank,
+    /// How long the caller waits.
+    pub deadline: time::Duration,
+}
+
+struct Cached {
+    reply: sync::Arc<caller_api::AddressesReply>,
+    until: time::Instant,
+}
+
+/// A caller with its connections and its address answer.
+pub struct Caller {
+    http: client::Client,
+    servers: Vec<net::SocketAddr>,
+    addresses_path: String,
+    cached: sync::Mutex<Option<Cached>>,
+}
+
+impl Caller {
+    /// A caller that asks `servers` for addresses, and says where it is if that is given.
+    pub fn new(
+        servers: Vec<net::SocketAddr>,
+        region: Option<&ids::RegionName>,
+        failure_domain: Option<&ids::DomainName>,
+    ) -> Result<Self, client::CallError> {
+        let mut addresses_path = "/v1/addresses".to_owned();
+        let mut separator = '?';
+        if let Some(region) = region {
+            addresses_path.push_str(&format!("{separator}region={region}"));
+            separator = '&';
+        }
+        if let Some(failure_domain) = failure_domain {
+            addresses_path.push_str(&format!("{separator}failure_domain={failure_domain}"));
+        }
+        let http = client::Client::new()?;
+        Ok(Self { http, servers, addresses_path, cached: sync::Mutex::new(None) })
+    }
+
+    /// The address answer, asked for again once its time to live is over. When nobody answers,
+    /// the last one is used on.
+    pub async fn addresses(
+        &self,
+    ) -> Result<sync::Arc<caller_api::AddressesReply>, client::CallError> {
+        let known = {
+            let cached = self.lock();
+            match &*cached {
+                Some(cached) if time::Instant::now() < cached.until => {
+                    return Ok(sync::Arc::clone(&cached.reply));
+                }
+                Some(cached) => Some(sync::Arc::clone(&cached.reply)),
+                None => None,
+            }
+        };
+        match self.ask_addresses(known.as_deref()).await {
+            Ok(reply) => {
+                let until = time::Instant::now() + time::Duration::from_millis(reply.ttl_ms.into());
+                let reply = sync::Arc::new(reply);
+                *self.lock() = Some(Cached { reply: sync::Arc::clone(&reply), until });
+                Ok(reply)
+            }
+            Err(error) => known.ok_or(error),
+        }
+    }
+
+    /// Searches.
+    pub async fn search(
+        &self,
+        call: &caller_api::SearchCall,
+    ) -> Result<caller_api::SearchAnswer, client::CallError> {
+        let end = time::Instant::now() + time::Duration::from_millis(call.deadline_ms.into());
+        let addresses = self.addresses().await?;
+        let mut last = client::CallError::NoInstance;
+        for address in addresses.addresses.iter().take(TRIES_MAX) {
+            let left = end.saturating_duration_since(time::Instant::now());
+            if left < TRY_MIN {
+                break;
+            }
+            let call = caller_api::SearchCall { deadline_ms: millis(left), ..call.clone() };
+            let timeout = left + ANSWER_GRACE;
+            match self.post(address.address, "/v1/search", &call, timeout).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) if error.is_worth_another() => {
+                    self.use_last(address.address);
+                    last = error;
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        Err(last)
+    }
+
+    /// Runs a non-idempotent request. An error means that it did not run.
+    pub async fn run(
+        &self,
+        run: &Run,
+        draw: impl Fn() -> u64,
+    ) -> Result<caller_api::RunAnswer, client::CallError> {
+        let end = time::Instant::now() + run.deadline;
+        let addresses = self.addresses().await?;
+        let mut in_doubt = run.key.clone().map(|key| doubt(key.into()));
+        let mut last = client::CallError::NoInstance;
+        for address in addresses.addresses.iter().cycle().take(TRIES_MAX) {
+            let left = end.saturating_duration_since(time::Instant::now());
+            if left < TRY_MIN {
+                break;
+            }
+            let key = match &in_doubt {
+                Some(answer) => answer.key.clone(),
+                None => new_key(address, addresses.issued_s, draw()),
+            };
+            let call = run_call(run, key.clone(), left);
+            // Another instance is asked while there is time, should this one be silent.
+            let timeout = left.mul_f64(2.0 / 3.0).max(TRY_MIN);
+            match self.post(address.address, "/v1/run", &call, timeout).await {
+                Ok(answer) => {
+                    let answer: caller_api::RunAnswer = answer;
+                    if answer.outcome != caller_api::Outcome::Unknown {
+                        return Ok(answer);
+                    }
+                    in_doubt = Some(answer);
+                    tokio::time::sleep(DOUBT_PAUSE).await;
+                }
+                Err(error) if error.never_received() => last = error,
+                Err(client::CallError::Refused(at, reply)) => {
+                    let error = client::CallError::Refused(at, reply);
+                    // While an earlier try is in doubt, a refusal of this one says nothing of it.
+                    if in_doubt.is_none() && !error.is_worth_another() {
+                        return Err(error);
+                    }
+                    last = error;
+                }
+                Err(_) => in_doubt = Some(in_doubt.unwrap_or_else(|| doubt(key))),
+            }
+        }
+        match in_doubt {
+            Some(answer) => Ok(answer),
+            None => Err(last),
+        }
+    }
+
+    async fn post<B, T>(
+        &self,
+        address: net::SocketAddr,
+        path: &str,
+        body: &B,
+        timeout: time::Duration,
+    ) -> Result<T, client::CallError>
+    where
+        B: serde::Serialize,
+        T: for<'de> serde::Deserialize<'de>,
+    {
+        let trace = trace::TraceContext::root(rand::random(), rand::random());
+        let call = client::Call { path, body: Some(body), token: None, trace, timeout };
+        self.http.call(address, call).await
+    }
+
+    async fn ask_addresses(
+        &self,
+        known: Option<&caller_api::AddressesReply>,
+    ) -> Result<caller_api::AddressesReply, client::CallError> {
+        let mut servers = self.servers.clone();
+        if let Some(known) = known {
+            servers.extend(known.addresses.iter().map(|address| address.address));
+        }
+        let mut last = client::CallError::NoInstance;
+        for server in servers {
+            let trace = trace::TraceContext::root(rand::random(), rand::random());
+            let path = &self.addresses_path;
+            let timeout = ADDRESSES_TIMEOUT;
+            let call = client::Call::<()> { path, body: None, token: None, trace, timeout };
+            match self.http.call(server, call).await {
+                Ok(reply) => return Ok(reply),
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+
+    /// Puts an instance that did not answer behind the others, until the next address answer.
+    fn use_last(&self, address: net::SocketAddr) {
+        let mut cached = self.lock();
+        let Some(cached) = &mut *cached else { return };
+        let reply = sync::Arc::make_mut(&mut cached.reply);
+        let is_it = |known: &caller_api::Address| known.address == address;
+        if let Some(index) = reply.addresses.iter().position(is_it) {
+            reply.addresses[index..].rotate_left(1);
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, Option<Cached>> {
+        self.cached.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+fn new_key(address: &caller_api::Address, issued_s: u64, random: u64) -> CompactString {
+    key::Key::new(address.instance.clone(), address.boot, issued_s, random).into()
+}
+
+fn run_call(run: &Run, key: CompactString, left: time::Duration) -> caller_api::RunCall {
+    caller_api::RunCall {
+        key,
+        service: run.service.clone(),
+        operation: run.operation.clone(),
+        subject: run.subject.clone(),
+        rank: run.rank,
+        deadline_ms: millis(left),
+    }
+}
+
+/// The answer when none came: the request may have run.
+fn doubt(key: CompactString) -> caller_api::RunAnswer {
+    let cause = Some(caller_api::ErrorCode::HomeUnreachable);
+    caller_api::RunAnswer { key, outcome: caller_api::Outcome::Unknown, result: None, cause }
+}
+
+fn millis(duration: time::Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/src/cmd/confirm.rs
@@ -0,0 +1,72 @@
+//! `confirm`: makes a plan take effect.
+
+use super::{Failure, Run, TryNext};
+use crate::cli;
+use crate::client;
+use crate::operator_api;
+use error_stack::Report;
+use std::time;
+
+impl Run for cli::Confirm {
+    fn run(&self, global: &cli::Global) -> Result<cli::Exit, Report<Failure>> {
+        super::check_servers(global)?;
+        let call = operator_api::ConfirmCall { plan: self.plan.clone(), wait_ms: self.wait_ms };
+        let path = "/v1/operator/confirm";
+        let wait = time::Duration::from_millis(self.wait_ms.into());
+        // Once a server may have received the plan, another could see its own commit as a conflict.
+        let try_next = TryNext::WhenNeverReceived;
+        match super::call_operator(global, path, Some(&call), wait, try_next) {
+            Ok(reply) => {
+                super::print_value(global, &reply, show)?;
+                Ok(exit_of(&reply))
+            }
+            Err(error) => Err(failed(error)),
+        }
+    }
+}
+
+fn failed(error: Report<client::CallError>) -> Report<Failure> {
+    let failure = match error.current_context() {
+        client::CallError::Refused(..) => Failure::Refused("nothing has changed"),
+        error if error.never_received() => Failure::Failed("nothing has changed"),
+        _ => Failure::Unsettled("the plan may have been committed; confirm it again to know"),
+    };
+    error.change_context(failure)
+}
+
+fn exit_of(reply: &operator_api::ConfirmReply) -> cli::Exit {
+    match reply {
+        operator_api::ConfirmReply::Accepted { .. } => cli::Exit::Done,
+        operator_api::ConfirmReply::Pending { .. } | operator_api::ConfirmReply::Unsettled => {
+            cli::Exit::Unsettled
+        }
+        operator_api::ConfirmReply::Conflict { .. } | operator_api::ConfirmReply::UnknownPlan => {
+            cli::Exit::Refused
+        }
+    }
+}
+
+fn show(reply: &operator_api::ConfirmReply) -> String {
+    match reply {
+        operator_api::ConfirmReply::Accepted { revision } => {
+            format!("accepted: revision {revision} is in force on every instance\n")
+        }
+        operator_api::ConfirmReply::Pending { revision, waiting_for } => {
+            let names: Vec<&str> = waiting_for.iter().map(|name| name.as_str()).collect();
+            let names = names.join(", ");
+            format!(
+                "pending: revision {revision} is committed, and waits for {names}; \
+                 confirm it again to see whether it is accepted\n"
+            )
+        }
+        operator_api::ConfirmReply::Conflict { in_force } => format!(
+            "conflict: nothing has changed; revision {in_force} is in force now, declare again\n"
+        ),
+        operator_api::ConfirmReply::Unsettled => {
+            "unsettled: the plan may have been committed; confirm it again to know\n".to_owned()
+        }
+        operator_api::ConfirmReply::UnknownPlan => {
+            "unknown plan: nothing has changed; declare again\n".to_owned()
+        }
+    }
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,198 @@
+//! The commands, one module each.
+
+mod bench;
+mod check;
+mod confirm;
+mod declare;
+mod instances;
+mod run;
+mod search;
+mod status;
+
+use crate::cli;
+use crate::client;
+use crate::client::caller;
+use crate::operator_api;
+use crate::trace;
+use error_stack::{Report, ResultExt as _};
+use serde::{Deserialize, Serialize};
+use std::io;
+use std::io::Write as _;
+use std::path;
+use std::time;
+
+/// How long an operator's call may take, beyond the time that it waits on purpose.
+const OPERATOR_TIMEOUT: time::Duration = time::Duration::from_millis(5_000);
+
+/// Why a command failed, and with which exit code it ends.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Failure {
+    /// No server answered, or an answer was not understood.
+    #[error("{0}")]
+    Failed(&'static str),
+    /// The command line is wrong.
+    #[error("{0}")]
+    Usage(&'static str),
+    /// Nothing was run or changed.
+    #[error("{0}")]
+    Refused(&'static str),
+    /// It may have been done.
+    #[error("{0}")]
+    Unsettled(&'static str),
+}
+
+impl Failure {
+    /// The exit code.
+    pub fn exit(&self) -> cli::Exit {
+        match self {
+            Failure::Failed(_) => cli::Exit::Failed,
+            Failure::Usage(_) => cli::Exit::Usage,
+            Failure::Refused(_) => cli::Exit::Refused,
+            Failure::Unsettled(_) => cli::Exit::Unsettled,
+        }
+    }
+}
+
+/// A command that can be run.
+pub trait Run {
+    /// Runs the command with the options of all commands.
+    fn run(&self, global: &cli::Global) -> Result<cli::Exit, Report<Failure>>;
+}
+
+impl Run for cli::Command {
+    fn run(&self, global: &cli::Global) -> Result<cli::Exit, Report<Failure>> {
+        match self {
+            cli::Command::Help => print(cli::HELP),
+            cli::Command::Version => {
+                print(concat!("tarragondoor ", env!("CARGO_PKG_VERSION"), "\n"))
+            }
+            cli::Command::Check(command) => command.run(global),
+            cli::Command::Declare(command) => command.run(global),
+            cli::Command::Confirm(command) => command.run(global),
+            cli::Command::Status(command) => command.run(global),
+            cli::Command::Instances(command) => command.run(global),
+            cli::Command::Search(command) => command.run(global),
+            cli::Command::Run(command) => command.run(global),
+            cli::Command::Bench(command) => command.run(global),
+        }
+    }
+}
+
+fn print(text: &str) -> Result<cli::Exit, Report<Failure>> {
+    match io::stdout().write_all(text.as_bytes()) {
+        Ok(()) => Ok(cli::Exit::Done),
+        // The reader has seen enough.
+        Err(error) if error.kind() == io::ErrorKind::BrokenPipe => Ok(cli::Exit::Done),
+        Err(error) => Err(error).change_context(Failure::Failed("could not print")),
+    }
+}
+
+/// Prints `value` as JSON if that is asked for, else what `show` makes of it.
+fn print_value<T: Serialize>(
+    global: &cli::Global,
+    value: &T,
+    show: impl FnOnce(&T) -> String,
+) -> Result<(), Report<Failure>> {
+    let text = if global.json {
+        let json = serde_json::to_string_pretty(value);
+        json.change_context(Failure::Failed("could not write JSON"))? + "\n"
+    } else {
+        show(value)
+    };
+    print(&text).map(|_| ())
+}
+
+/// The findings as `FILE:LINE:COLUMN: severity: message`, or as JSON.
+fn print_findings(
+    global: &cli::Global,
+    file: &path::Path,
+    findings: &[operator_api::Finding],
+) -> Result<(), Report<Failure>> {
+    let reply = operator_api::FindingsReply { findings: findings.to_vec() };
+    print_value(global, &reply, |reply| show_findings(file, &reply.findings))
+}
+
+fn show_findings(file: &path::Path, findings: &[operator_api::Finding]) -> String {
+    let mut text = String::new();
+    for finding in findings {
+        let operator_api::Finding { severity, line, column, message } = finding;
+        text.push_str(&format!("{}:{line}:{column}: {severity}: {message}\n", file.display()));
+    }
+    text
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime, Report<Failure>> {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    builder.enable_all().build().change_context(Failure::Failed("could not start"))
+}
+
+fn check_servers(global: &cli::Global) -> Result<(), Report<Failure>> {
+    if global.servers.is_empty() {
+        let usage = "no server is given: use --server or TARRAGONDOOR_SERVER";
+        return Err(Report::new(Failure::Usage(usage)));
+    }
+    Ok(())
+}
+
+fn new_caller(global: &cli::Global) -> Result<caller::Caller, Report<Failure>> {
+    check_servers(global)?;
+    caller::Caller::new(global.servers.clone(), global.region.as_ref(), global.domain.as_ref())
+        .change_context(Failure::Failed("could not start"))
+}
+
+/// Which errors let an operator's call go on to the next server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TryNext {
+    /// All that another server may do better.
+    WhenWorthIt,
+    /// Only if nothing can have been received.
+    WhenNeverReceived,
+}
+
+/// Calls the servers in turn.
+fn call_operator<B, T>(
+    global: &cli::Global,
+    path: &str,
+    body: Option<&B>,
+    wait: time::Duration,
+    try_next: TryNext,
+) -> Result<T, Report<client::CallError>>
+where
+    B: Serialize,
+    T: for<'de> Deserialize<'de>,
+{
+    let runtime = runtime().change_context(client::CallError::NoInstance)?;
+    let http = client::Client::new()?;
+    let mut last = client::CallError::NoInstance;
+    for server in &global.servers {
+        let trace = trace::TraceContext::root(rand::random(), rand::random());
+        let (token, timeout) = (global.token.as_deref(), OPERATOR_TIMEOUT + wait);
+        let call = client::Call { path, body, token, trace, timeout };
+        let error = match runtime.block_on(http.call(*server, call)) {
+            Ok(reply) => return Ok(reply),
+            Err(error) => error,
+        };
+        let goes_on = match try_next {
+            TryNext::WhenWorthIt => error.is_worth_another(),
+            TryNext::WhenNeverReceived => error.never_received(),
+        };
+        if !goes_on {
+            return Err(Report::new(error));
+        }
+        last = error;
+    }
+    Err(Report::new(last))
+}
+
+/// The failure that a call's error means, when nothing was changed by the call.
+fn failure_of(error: &client::CallError, context: &'static str) -> Failure {
+    match error {
+        client::CallError::Refused(..) => Failure::Refused(context),
+        _ => Failure::Failed(context),
+    }
+}
+
+fn refail(error: Report<client::CallError>, context: &'static str) -> Report<Failure> {
+    let failure = failure_of(error.current_context(), context);
+    error.change_context(failure)
+}
--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,39 @@
+//! `status`: the instances and the settings revision that each has in force.
+
+use super::{Failure, Run, TryNext};
+use crate::cli;
+use crate::operator_api;
+use error_stack::Report;
+use std::time;
+
+impl Run for cli::Status {
+    fn run(&self, global: &cli::Global) -> Result<cli::Exit, Report<Failure>> {
+        super::check_servers(global)?;
+        let (path, wait) = ("/v1/operator/status", time::Duration::ZERO);
+        let reply = super::call_operator(global, path, None::<&()>, wait, TryNext::WhenWorthIt)
+            .map_err(|error| super::refail(error, "could not ask for the status"))?;
+        super::print_value(global, &reply, show)?;
+        Ok(cli::Exit::Done)
+    }
+}
+
+fn show(reply: &operator_api::StatusReply) -> String {
+    let mut text = format!("revision {}, as {} knows\n", reply.newest, reply.answered_by);
+    text.push_str(&format!(
+        "{:<20} {:<10} {:>8} {:<7} {:<22} {}/{}\n",
+        "instance", "state", "revision", "", "address", "region", "failure domain"
+    ));
+    for instance in &reply.instances {
+        let behind = if instance.behind { "behind" } else { "" };
+        text.push_str(&format!(
+            "{:<20} {:<10} {:>8} {behind:<7} {:<22} {}/{}\n",
+            instance.instance.as_str(),
+            instance.state,
+            instance.revision.to_string(),
+            instance.address.to_string(),
+            instance.region,
+            instance.failure_domain
+        ));
+    }
+    text
+}
--- /dev/null
+++ b/src/load/arrivals.rs
@@ -0,0 +1,94 @@
+//! When which search is to start: a Poisson process for each rank, drawn from a seed.
+
+use crate::load;
+use crate::rank;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand::rngs;
+
+/// One search to start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Arrival {
+    /// When, in seconds after the start of the warm-up.
+    pub at_s: f64,
+    /// The urgency.
+    pub rank: rank::Rank,
+    /// The position of the service in the plan.
+    pub service: usize,
+}
+
+/// All searches of a plan, in the order of their start.
+#[derive(Debug)]
+pub struct Arrivals<'a> {
+    plan: &'a load::Plan,
+    random: rngs::StdRng,
+    next_s: [f64; rank::RANK_COUNT],
+}
+
+impl<'a> Arrivals<'a> {
+    /// The arrivals of `plan`; the same ones each time.
+    pub fn new(plan: &'a load::Plan) -> Self {
+        let random = rngs::StdRng::seed_from_u64(plan.seed);
+        let mut arrivals = Self { plan, random, next_s: [0.0; rank::RANK_COUNT] };
+        for rank in rank::Rank::ALL {
+            arrivals.next_s[rank.index()] = arrivals.after(0.0, rank);
+        }
+        arrivals
+    }
+
+    /// The next arrival of `rank` after `at_s`. A Poisson process has no memory, so where the rate
+    /// changes a new gap is drawn.
+    fn after(&mut self, mut at_s: f64, rank: rank::Rank) -> f64 {
+        loop {
+            let (rate_per_s, until_s) = self.rate_at(at_s, rank);
+            if rate_per_s > 0.0 {
+                let unit: f64 = self.random.random();
+                let next_s = at_s - (1.0 - unit).ln() / rate_per_s;
+                if next_s < until_s {
+                    return next_s;
+                }
+            }
+            if until_s == f64::INFINITY {
+                return f64::INFINITY;
+            }
+            at_s = until_s;
+        }
+    }
+
+    /// The rate of `rank` at `at_s`, and until when it holds.
+    fn rate_at(&self, at_s: f64, rank: rank::Rank) -> (f64, f64) {
+        let base_per_s = self.plan.rate_per_s * self.plan.mix.share(rank);
+        let Some(flood) = self.plan.flood.filter(|flood| flood.rank == rank) else {
+            return (base_per_s, f64::INFINITY);
+        };
+        let start_s = (self.plan.warm_up + flood.start).as_secs_f64();
+        let end_s = (self.plan.warm_up + flood.end()).as_secs_f64();
+        if at_s < start_s {
+            (base_per_s, start_s)
+        } else if at_s < end_s {
+            (base_per_s * flood.factor, end_s)
+        } else {
+            (base_per_s, f64::INFINITY)
+        }
+    }
+}
+
+impl Iterator for Arrivals<'_> {
+    type Item = Arrival;
+
+    fn next(&mut self) -> Option<Arrival> {
+        let mut rank = rank::Rank::Urgent;
+        for other in rank::Rank::ALL {
+            if self.next_s[other.index()] < self.next_s[rank.index()] {
+                rank = other;
+            }
+        }
+        let at_s = self.next_s[rank.index()];
+        if at_s >= self.plan.whole().as_secs_f64() {
+            return None;
+        }
+        self.next_s[rank.index()] = self.after(at_s, rank);
+        let service = self.random.random_range(0..self.plan.services.len().max(1));
+        Some(Arrival { at_s, rank, service })
+    }
+}
--- /dev/null
+++ b/src/load/runner.rs
@@ -0,0 +1,137 @@
+//! Runs a load plan against the system.
+
+use crate::caller_api;
+use crate::client;
+use crate::client::caller;
+use crate::load;
+use crate::load::arrivals;
+use crate::load::report;
+use crate::load::tally;
+use std::sync;
+use std::time;
+use tokio::sync::mpsc;
+use tokio::task;
+
+/// How often the progress is shown.
+const PROGRESS_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
+
+/// How long an answer is waited for beyond four deadlines, whatever the caller's own bounds are.
+const ANSWER_GRACE: time::Duration = time::Duration::from_millis(2_000);
+
+/// Room for samples on their way to the tally.
+const SAMPLES_QUEUED_MAX: usize = 4_096;
+
+/// Why a run has no report.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// The histograms can't be made.
+    #[error("the histograms can't be made: {0}")]
+    Histogram(#[from] hdrhistogram::CreationError),
+    /// The samples were lost.
+    #[error("the samples were lost")]
+    Lost,
+}
+
+/// How far a run is.
+#[derive(Clone, Copy, Debug)]
+pub struct Progress {
+    /// The time since the start.
+    pub elapsed: time::Duration,
+    /// Searches started.
+    pub started: u64,
+    /// Searches under way.
+    pub in_flight: usize,
+    /// Searches that were not sent.
+    pub overruns: u64,
+}
+
+/// Runs `plan` and shows its progress by `show`.
+pub async fn run(
+    caller: sync::Arc<caller::Caller>,
+    plan: &load::Plan,
+    mut show: impl FnMut(Progress),
+) -> Result<report::Report, RunError> {
+    let tallies = tally::Tallies::new(plan.deadline_ms)?;
+    let (sender, receiver) = mpsc::channel(SAMPLES_QUEUED_MAX);
+    let collector = tokio::spawn(collect(receiver, tallies));
+    let permits = sync::Arc::new(tokio::sync::Semaphore::new(plan.in_flight_max));
+    let mut tasks = task::JoinSet::new();
+    let answer_max = time::Duration::from_millis(plan.deadline_ms.into()) * 4 + ANSWER_GRACE;
+    let begin = tokio::time::Instant::now();
+    let mut next_progress = begin + PROGRESS_INTERVAL;
+    let mut progress =
+        Progress { elapsed: time::Duration::ZERO, started: 0, in_flight: 0, overruns: 0 };
+    let mut lag_max = time::Duration::ZERO;
+    for arrival in arrivals::Arrivals::new(plan) {
+        let intended = begin + time::Duration::from_secs_f64(arrival.at_s);
+        tokio::time::sleep_until(intended).await;
+        let now = tokio::time::Instant::now();
+        lag_max = lag_max.max(now - intended);
+        while tasks.try_join_next().is_some() {}
+        if now >= next_progress {
+            next_progress = now + PROGRESS_INTERVAL;
+            progress.elapsed = now - begin;
+            progress.in_flight = plan.in_flight_max - permits.available_permits();
+            show(progress);
+        }
+        let phase = tally::Phase::of(plan, arrival.at_s);
+        let rank = arrival.rank;
+        let Ok(permit) = sync::Arc::clone(&permits).try_acquire_owned() else {
+            progress.overruns += 1;
+            let outcome = tally::Outcome::Overrun;
+            // The collector goes last, so that this can't fail.
+            let _ = sender.send(tally::Sample { phase, rank, outcome }).await;
+            continue;
+        };
+        progress.started += 1;
+        let call = search_call(plan, &arrival);
+        let (caller, sender) = (sync::Arc::clone(&caller), sender.clone());
+        tasks.spawn(async move {
+            let outcome = match tokio::time::timeout(answer_max, caller.search(&call)).await {
+                Ok(result) => outcome_of(result, intended.elapsed()),
+                Err(_) => tally::Outcome::Failed,
+            };
+            drop(permit);
+            let _ = sender.send(tally::Sample { phase, rank, outcome }).await;
+        });
+    }
+    while tasks.join_next().await.is_some() {}
+    drop(sender);
+    let tallies = collector.await.map_err(|_| RunError::Lost)?;
+    Ok(report::Report::new(plan, &tallies, lag_max.as_secs_f64() * 1_000.0))
+}
+
+async fn collect(
+    mut receiver: mpsc::Receiver<tally::Sample>,
+    mut tallies: tally::Tallies,
+) -> tally::Tallies {
+    while let Some(sample) = receiver.recv().await {
+        tallies.add(&sample);
+    }
+    tallies
+}
+
+fn search_call(plan: &load::Plan, arrival: &arrivals::Arrival) -> caller_api::SearchCall {
+    caller_api::SearchCall {
+        service: plan.services[arrival.service].clone(),
+        query: plan.query.clone(),
+        limit: plan.limit,
+        rank: arrival.rank,
+        deadline_ms: plan.deadline_ms,
+    }
+}
+
+fn outcome_of(
+    result: Result<caller_api::SearchAnswer, client::CallError>,
+    latency: time::Duration,
+) -> tally::Outcome {
+    match result {
+        Ok(answer) => tally::Outcome::Answered {
+            latency_us: u64::try_from(latency.as_micros()).unwrap_or(u64::MAX),
+            coverage: answer.coverage,
+            effort: answer.effort,
+        },
+        Err(client::CallError::Refused(_, reply)) => tally::Outcome::Refused(reply.code),
+        Err(_) => tally::Outcome::Failed,
+    }
+}
--- /dev/null
+++ b/src/trace.rs
@@ -0,0 +1,176 @@
+//! The W3C trace context, and a span for each hop.
+
+use std::fmt;
+use std::num;
+use std::str::FromStr;
+
+/// The name of the header.
+pub const TRACEPARENT: &str = "traceparent";
+
+/// The flag that says that the caller may have recorded the trace.
+const SAMPLED: u8 = 1;
+
+/// The length of a version 00 header, in bytes.
+const HEADER_BYTES: usize = 55;
+
+/// Why a header was not accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("not a traceparent header")]
+pub struct ParseTraceError;
+
+/// Identifies a trace: all hops of one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TraceId(num::NonZeroU128);
+
+/// Identifies a span: one hop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SpanId(num::NonZeroU64);
+
+impl TraceId {
+    /// The id of this number; zero, which is no id, becomes one.
+    pub fn new(number: u128) -> Self {
+        Self(num::NonZeroU128::new(number).unwrap_or(num::NonZeroU128::MIN))
+    }
+}
+
+impl SpanId {
+    /// The id of this number; zero, which is no id, becomes one.
+    pub fn new(number: u64) -> Self {
+        Self(num::NonZeroU64::new(number).unwrap_or(num::NonZeroU64::MIN))
+    }
+}
+
+impl fmt::Display for TraceId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl fmt::Display for SpanId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for TraceId {
+    type Err = ParseTraceError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        check_hex(text, 32)?;
+        let number = u128::from_str_radix(text, 16).map_err(|_| ParseTraceError)?;
+        Ok(Self(num::NonZeroU128::new(number).ok_or(ParseTraceError)?))
+    }
+}
+
+impl FromStr for SpanId {
+    type Err = ParseTraceError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        check_hex(text, 16)?;
+        let number = u64::from_str_radix(text, 16).map_err(|_| ParseTraceError)?;
+        Ok(Self(num::NonZeroU64::new(number).ok_or(ParseTraceError)?))
+    }
+}
+
+/// What one hop hands to the next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TraceContext {
+    /// The trace.
+    pub trace_id: TraceId,
+    /// The span of the hop that sends it.
+    pub span_id: SpanId,
+    /// The span that this span belongs under, if it is known here.
+    pub parent_id: Option<SpanId>,
+    /// Whether the trace is recorded.
+    pub sampled: bool,
+}
+
+impl TraceContext {
+    /// A new trace of two random numbers.
+    pub fn root(trace: u128, span: u64) -> Self {
+        let (trace_id, span_id) = (TraceId::new(trace), SpanId::new(span));
+        Self { trace_id, span_id, parent_id: None, sampled: true }
+    }
+
+    /// The context of a span below this one, of a random number.
+    pub fn child(&self, span: u64) -> Self {
+        Self { span_id: SpanId::new(span), parent_id: Some(self.span_id), ..*self }
+    }
+
+    /// The context of the hop that received `header`: a child of the sender's span, or a new trace
+    /// if there is no header or it is malformed.
+    pub fn receive(header: Option<&str>, trace: u128, span: u64) -> Self {
+        match header.map(Self::from_str) {
+            Some(Ok(sender)) => sender.child(span),
+            Some(Err(_)) | None => Self::root(trace, span),
+        }
+    }
+}
+
+impl fmt::Display for TraceContext {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "00-{}-{}-{:02x}", self.trace_id, self.span_id, u8::from(self.sampled))
+    }
+}
+
+impl FromStr for TraceContext {
+    type Err = ParseTraceError;
+
+    /// Parses a header. A later version is read by what version 00 knows of it, as the standard says.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut parts = text.split('-');
+        let mut next = || parts.next().ok_or(ParseTraceError);
+        let (version, trace_id, span_id, flags) = (next()?, next()?, next()?, next()?);
+        check_hex(version, 2)?;
+        if version == "ff" || (version == "00" && text.len() != HEADER_BYTES) {
+            return Err(ParseTraceError);
+        }
+        check_hex(flags, 2)?;
+        let flags = u8::from_str_radix(flags, 16).map_err(|_| ParseTraceError)?;
+        let (trace_id, span_id) = (trace_id.parse()?, span_id.parse()?);
+        Ok(Self { trace_id, span_id, parent_id: None, sampled: flags & SAMPLED != 0 })
+    }
+}
+
+fn check_hex(text: &str, length: usize) -> Result<(), ParseTraceError> {
+    if text.len() != length {
+        return Err(ParseTraceError);
+    }
+    for byte in text.bytes() {
+        if !matches!(byte, b'0'..=b'9' | b'a'..=b'f') {
+            return Err(ParseTraceError);
+        }
+    }
+    Ok(())
+}
+
+/// A hop: the kind of work that a span covers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Hop {
+    /// A caller's request at the instance where it enters.
+    Entry,
+    /// Requests for a searcher at the instance that owns it.
+    Owner,
+    /// One attempt at a backend server.
+    Searcher,
+    /// A non-idempotent request at its home.
+    Home,
+    /// An operator's request.
+    Operator,
+}
+
+/// Opens the span of a hop: `hop`, `trace_id`, `span_id`, and `parent_id` where there is one.
+pub fn span(hop: Hop, context: &TraceContext) -> tracing::Span {
+    let span = tracing::info_span!(
+        "hop",
+        hop = %hop,
+        trace_id = %context.trace_id,
+        span_id = %context.span_id,
+        parent_id = tracing::field::Empty,
+    );
+    if let Some(parent_id) = context.parent_id {
+        span.record("parent_id", tracing::field::display(parent_id));
+    }
+    span
+}
