--- /dev/null
+++ b/src/instance.rs
@@ -0,0 +1,226 @@
+//! An instance put together: its duties, started and stopped.
+
+use crate::attempts;
+use crate::config;
+use crate::duty;
+use crate::entry;
+use crate::events::Event;
+use crate::gate;
+use crate::gossip;
+use crate::home;
+use crate::http;
+use crate::ids;
+use crate::link;
+use crate::member;
+use crate::owner;
+use crate::seal;
+use crate::serve;
+use crate::settings;
+use error_stack::ResultExt as _;
+use std::net;
+use std::sync;
+use std::time;
+
+/// How long after the announcement of its leave other instances may still name this one to callers.
+const LEAVE_SPREAD: time::Duration = time::Duration::from_millis(1_500);
+
+/// The longest wait for the last request to end, above the longest deadline.
+const LAST_REQUEST_MAX: time::Duration =
+    time::Duration::from_millis(entry::DEADLINE_MAX_MS as u64 + 2_000);
+
+/// How often a stopping instance looks whether requests are open.
+const IDLE_PERIOD: time::Duration = time::Duration::from_millis(50);
+
+/// How often a free port is looked for that UDP and TCP can share.
+const PORT_TRIES: u32 = 16;
+
+/// Why an instance could not run.
+#[derive(Debug, thiserror::Error)]
+pub enum InstanceError {
+    /// An address can't be listened at.
+    #[error("can't listen at {0}")]
+    Listen(net::SocketAddr),
+    /// The membership could not be started.
+    #[error("can't start the membership")]
+    Membership,
+    /// The server for callers ended by itself.
+    #[error("the server for callers ended")]
+    Server,
+}
+
+/// A running instance. Dropping it ends it at once, as a crash would.
+pub struct Instance {
+    node: sync::Arc<entry::Node>,
+    app: sync::Arc<http::App>,
+    address: net::SocketAddr,
+    peer_address: net::SocketAddr,
+    listener: Option<tokio::net::TcpListener>,
+    duties: tokio::task::JoinSet<()>,
+}
+
+/// Starts an instance; it serves callers once [`Instance::serve`] runs.
+///
+/// # Errors
+///
+/// When it can't listen.
+pub async fn start(
+    config: config::Config,
+    secrets: config::Secrets,
+    settings: settings::Settings,
+) -> Result<Instance, error_stack::Report<InstanceError>> {
+    let boot = ids::BootId(now_us());
+    let listen_error = || InstanceError::Listen(config.listen);
+    let listener = http::bind(config.listen).await.change_context_lazy(listen_error)?;
+    let address = listener.local_addr().change_context_lazy(listen_error)?;
+    let (peer_listener, peer_socket) = bind_peer(config.peer_listen).await?;
+    let peer_address = peer_listener
+        .local_addr()
+        .change_context_lazy(|| InstanceError::Listen(config.peer_listen))?;
+    let me = member::Record {
+        name: config.instance.clone(),
+        boot,
+        incarnation: ids::Incarnation(0),
+        state: member::State::Alive,
+        peer_address,
+        caller_address: address,
+        region: config.region.clone(),
+        failure_domain: config.failure_domain.clone(),
+    };
+    let gossip = start_gossip(&config, me, peer_socket, secrets.key.clone())?;
+    let attempts: sync::Arc<attempts::Attempts> = sync::Arc::default();
+    let me = config.instance.clone();
+    let links = link::Links::new(me.clone(), boot, &secrets.key, attempts.clone());
+    let node = sync::Arc::new(entry::Node {
+        me: me.clone(),
+        boot,
+        place: config.place(),
+        world: sync::Arc::default(),
+        settings: arc_swap::ArcSwap::from_pointee(settings),
+        holdings: arc_swap::ArcSwap::default(),
+        attempts,
+        gossip,
+        links: sync::Arc::new(links),
+        home: home::Home::new(me.clone(), boot),
+        owner: sync::Arc::new(owner::Owner::new(me)),
+        gate: gate::Gate::default(),
+        started: time::Instant::now(),
+    });
+    let serve = sync::Arc::new(serve::Server { node: node.clone() });
+    let mut duties = tokio::task::JoinSet::new();
+    duties.spawn(node.links.clone().accept(peer_listener, serve.clone()));
+    duties.spawn(duty::read_list(node.clone(), config.platform));
+    duties.spawn(duty::follow(node.clone(), serve));
+    duties.spawn(duty::probe(node.clone()));
+    duties.spawn(duty::tick(node.clone()));
+    let app = sync::Arc::new(http::App {
+        node: node.clone(),
+        token: secrets.token,
+        address_ttl_ms: config.address_ttl_ms,
+    });
+    crate::event!(
+        info,
+        Event::InstanceStarted,
+        instance = %node.me,
+        boot = %node.boot,
+        address = %address,
+        peer_address = %peer_address
+    );
+    Ok(Instance { node, app, address, peer_address, listener: Some(listener), duties })
+}
+
+impl Instance {
+    /// The shared state.
+    pub fn node(&self) -> &sync::Arc<entry::Node> {
+        &self.node
+    }
+
+    /// Where it listens for callers and operators.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Where it listens for instances.
+    pub fn peer_address(&self) -> net::SocketAddr {
+        self.peer_address
+    }
+
+    /// Serves callers until a signal tells the process to stop, then stops gracefully: it announces
+    /// its leave, serves for as long as callers may hold its address, and waits for open requests.
+    ///
+    /// # Errors
+    ///
+    /// When the server ends by itself.
+    pub async fn serve(&mut self) -> Result<(), error_stack::Report<InstanceError>> {
+        let Some(listener) = self.listener.take() else {
+            return Ok(());
+        };
+        let incoming = volo::net::incoming::DefaultIncoming::from(listener);
+        let app = self.app.clone();
+        let server = volo_http::server::Server::new(http::router(self.app.clone()))
+            .register_shutdown_hook(move || Box::pin(async move { drain(&app).await }));
+        server.run(incoming).await.map_err(|error| {
+            error_stack::Report::new(InstanceError::Server).attach(error.to_string())
+        })?;
+        crate::event!(info, Event::InstanceStopped, instance = %self.node.me);
+        Ok(())
+    }
+
+    /// Ends the instance at once.
+    pub fn kill(mut self) {
+        self.duties.abort_all();
+    }
+}
+
+/// Serves on for as long as callers may hold this instance's address, and until it is idle.
+async fn drain(app: &http::App) {
+    let node = &app.node;
+    crate::event!(info, Event::InstanceStopping, instance = %node.me);
+    node.gate.stop();
+    if node.gossip.leave().is_err() {
+        tracing::warn!("membership is busy; the leave is announced by its end");
+    }
+    let held = time::Duration::from_millis(app.address_ttl_ms.into());
+    tokio::time::sleep(held + LEAVE_SPREAD).await;
+    let give_up = tokio::time::Instant::now() + LAST_REQUEST_MAX;
+    while !node.is_idle() && tokio::time::Instant::now() < give_up {
+        tokio::time::sleep(IDLE_PERIOD).await;
+    }
+}
+
+/// Binds TCP and UDP to the same port; port 0 means any that is free for both.
+async fn bind_peer(
+    address: net::SocketAddr,
+) -> Result<(tokio::net::TcpListener, net::UdpSocket), error_stack::Report<InstanceError>> {
+    let error = || InstanceError::Listen(address);
+    let mut tries = 0;
+    loop {
+        let listener = tokio::net::TcpListener::bind(address).await.change_context_lazy(error)?;
+        let bound = listener.local_addr().change_context_lazy(error)?;
+        match net::UdpSocket::bind(bound) {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(_) if address.port() == 0 && tries < PORT_TRIES => tries += 1,
+            Err(cause) => return Err(cause).change_context_lazy(error),
+        }
+    }
+}
+
+fn now_us() -> u64 {
+    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
+    since.as_micros() as u64
+}
+
+fn start_gossip(
+    config: &config::Config,
+    me: member::Record,
+    socket: net::UdpSocket,
+    key: seal::ClusterKey,
+) -> Result<gossip::Handle, error_stack::Report<InstanceError>> {
+    let gossip_config = gossip::Config {
+        me,
+        protocol: member::Config::default(),
+        seeds: config.seeds.iter().map(|seed| seed.peer_address).collect(),
+        rng_seed: rand::random(),
+        nonce: rand::random(),
+    };
+    gossip::start(gossip_config, socket, key).change_context(InstanceError::Membership)
+}
--- /dev/null
+++ b/src/owner.rs
@@ -0,0 +1,296 @@
+//! The searchers that this instance owns.
+
+use crate::attempts;
+use crate::ids;
+use crate::link;
+use crate::peer_api;
+use crate::peers;
+use crate::searcher;
+use crate::searcher_api;
+use std::sync;
+use std::time;
+
+/// How often an owned searcher is asked for its status.
+pub const PROBE_PERIOD: time::Duration = time::Duration::from_millis(500);
+
+/// How often calls that wait in vain are looked for.
+pub const TICK_PERIOD: time::Duration = time::Duration::from_millis(10);
+
+/// How long an instance still makes calls to a searcher that it has given up: other instances learn of
+/// the new owner a little later.
+pub const PARTING_HOLD: time::Duration = time::Duration::from_millis(2_000);
+
+/// Where the outcome of a call goes.
+#[derive(Clone)]
+pub enum ReplyTo {
+    /// To the peer at the other end of a link.
+    Link(link::FrameSender),
+    /// To this instance's own queries.
+    Here(sync::Arc<attempts::Attempts>),
+}
+
+impl ReplyTo {
+    /// Sends an outcome; drops it if nobody waits.
+    pub fn send(&self, reply: peer_api::ShardReply) {
+        match self {
+            ReplyTo::Link(sender) => {
+                if sender.try_send(peer_api::Frame::Shard(reply)).is_err() {
+                    tracing::debug!("link gone or full; the entry will count the call as lost");
+                }
+            }
+            ReplyTo::Here(attempts) => {
+                attempts.resolve(reply);
+            }
+        }
+    }
+}
+
+struct Running {
+    attempt: ids::AttemptId,
+    cancel: tokio::sync::oneshot::Sender<()>,
+}
+
+struct Parting {
+    searcher: sync::Arc<searcher::Searcher>,
+    until: tokio::time::Instant,
+}
+
+/// All searchers that this instance owns, sorted by name.
+pub struct Owner {
+    me: ids::InstanceName,
+    owned: sync::RwLock<Vec<sync::Arc<searcher::Searcher>>>,
+    parting: sync::Mutex<Vec<Parting>>,
+    running: sync::Mutex<Vec<Running>>,
+}
+
+impl Owner {
+    /// Owns nothing yet.
+    pub fn new(me: ids::InstanceName) -> Self {
+        Self {
+            me,
+            owned: sync::RwLock::default(),
+            parting: sync::Mutex::default(),
+            running: sync::Mutex::default(),
+        }
+    }
+
+    /// Takes over what this instance owns in these views and gives up the rest. Calls that run at a
+    /// searcher which is given up still end.
+    pub fn follow(
+        &self,
+        peers: &peers::Peers,
+        directory: &peers::Directory,
+        limits: impl Fn(&ids::ServiceName) -> Option<searcher::Limits>,
+    ) {
+        let mut next = Vec::new();
+        let known = self.all();
+        for listed in directory.all() {
+            let owner = peers.owner(&listed.place, &listed.searcher);
+            if owner.is_none_or(|owner| owner.instance != self.me) {
+                continue;
+            }
+            let Some(limits) = limits(&listed.service) else {
+                continue;
+            };
+            let same = find(&known, &listed.searcher)
+                .filter(|owned| owned.listed() == listed && owned.limits() == limits);
+            match same {
+                Some(owned) => next.push(owned.clone()),
+                None => {
+                    next.push(sync::Arc::new(searcher::Searcher::new(listed.clone(), limits)));
+                }
+            }
+        }
+        self.part(&known, &next);
+        *write(&self.owned) = next;
+    }
+
+    /// Keeps searchers that are given up to another owner for a while.
+    fn part(
+        &self,
+        known: &[sync::Arc<searcher::Searcher>],
+        next: &[sync::Arc<searcher::Searcher>],
+    ) {
+        let now = tokio::time::Instant::now();
+        let mut parting = lock(&self.parting);
+        parting.retain(|parting| parting.until > now);
+        for searcher in known {
+            if find(next, &searcher.listed().searcher).is_some() {
+                continue;
+            }
+            parting.push(Parting { searcher: searcher.clone(), until: now + PARTING_HOLD });
+        }
+    }
+
+    /// Whether no call of a query runs.
+    pub fn is_idle(&self) -> bool {
+        lock(&self.running).is_empty()
+    }
+
+    /// The searchers owned, sorted by name.
+    pub fn all(&self) -> Vec<sync::Arc<searcher::Searcher>> {
+        read(&self.owned).clone()
+    }
+
+    /// Makes the calls of a query; each outcome goes to `reply_to`.
+    pub fn search(self: &sync::Arc<Self>, search: &peer_api::Search, reply_to: &ReplyTo) {
+        let deadline = deadline(search.timeout_ms);
+        for call in &search.calls {
+            let Some(owned) = self.find(&call.searcher) else {
+                reply_to.send(attempts::failed_reply(
+                    call.attempt,
+                    call.searcher.clone(),
+                    peer_api::Failure::NotOwner,
+                ));
+                continue;
+            };
+            let want = searcher::Want {
+                attempt: call.attempt,
+                query: search.query_id,
+                rank: search.rank,
+                weight: search.weight,
+                deadline,
+            };
+            let request = searcher_api::SearchRequest {
+                attempt: call.attempt,
+                service: search.service.clone(),
+                snapshot: search.snapshot,
+                shards: call.shards.clone(),
+                query: search.query.clone(),
+                limit: search.limit,
+                rank: search.rank,
+                timeout_ms: search.timeout_ms,
+            };
+            let owner = self.clone();
+            let traceparent = search.traceparent.clone();
+            let reply_to = reply_to.clone();
+            tokio::spawn(async move {
+                owner.search_one(&owned, want, request, traceparent, &reply_to).await;
+            });
+        }
+    }
+
+    async fn search_one(
+        &self,
+        owned: &searcher::Searcher,
+        want: searcher::Want,
+        request: searcher_api::SearchRequest,
+        traceparent: compact_str::CompactString,
+        reply_to: &ReplyTo,
+    ) {
+        let attempt = want.attempt;
+        let (cancel, cancelled) = tokio::sync::oneshot::channel();
+        lock(&self.running).push(Running { attempt, cancel });
+        let outcome = tokio::select! {
+            outcome = owned.search(want, request, traceparent) => outcome,
+            _ = cancelled => peer_api::ShardOutcome::Failed(peer_api::Failure::Cancelled),
+        };
+        lock(&self.running).retain(|running| running.attempt != attempt);
+        let searcher = owned.listed().searcher.clone();
+        let load = Some(owned.load());
+        reply_to.send(peer_api::ShardReply { attempt, searcher, outcome, load });
+    }
+
+    /// Gives up calls.
+    pub fn cancel(&self, attempts: &[ids::AttemptId]) {
+        let mut running = lock(&self.running);
+        let mut index = 0;
+        while let Some(entry) = running.get(index) {
+            if !attempts.contains(&entry.attempt) {
+                index += 1;
+                continue;
+            }
+            let entry = running.swap_remove(index);
+            if entry.cancel.send(()).is_err() {
+                tracing::trace!("call ended before it was cancelled");
+            }
+        }
+    }
+
+    /// Has a searcher run a non-idempotent request, at most once.
+    pub async fn run(&self, run: peer_api::OwnerRun) -> peer_api::RunOutcome {
+        let Some(owned) = self.find(&run.searcher) else {
+            return peer_api::RunOutcome::Failed(peer_api::Failure::NotOwner);
+        };
+        let want = searcher::Want {
+            attempt: run.attempt,
+            query: ids::QueryId(run.attempt.0),
+            rank: run.rank,
+            weight: 1.0,
+            deadline: deadline(run.timeout_ms),
+        };
+        owned.run(want, run).await
+    }
+
+    /// Asks each owned searcher for its status. Returns the reports that have changed.
+    pub async fn probe(
+        &self,
+        known: impl Fn(&ids::SearcherName) -> u64,
+    ) -> Vec<peer_api::SearcherReport> {
+        let mut probes = tokio::task::JoinSet::new();
+        for owned in self.all() {
+            let known = known(&owned.listed().searcher);
+            probes.spawn(async move { owned.probe(known).await });
+        }
+        let mut changed = Vec::new();
+        while let Some(probed) = probes.join_next().await {
+            let Ok(Some(report)) = probed else {
+                continue;
+            };
+            changed.push(report);
+        }
+        changed
+    }
+
+    /// The last report on each owned searcher.
+    pub fn reports(&self) -> Vec<peer_api::SearcherReport> {
+        let mut reports = Vec::new();
+        for owned in read(&self.owned).iter() {
+            reports.extend(owned.report());
+        }
+        reports
+    }
+
+    /// Refuses the calls that wait in vain.
+    pub fn tick(&self) {
+        for owned in read(&self.owned).iter() {
+            owned.tick();
+        }
+    }
+
+    fn find(&self, searcher: &ids::SearcherName) -> Option<sync::Arc<searcher::Searcher>> {
+        if let Some(owned) = find(&read(&self.owned), searcher) {
+            return Some(owned.clone());
+        }
+        let parting = lock(&self.parting);
+        let found = parting.iter().rev().find(|parting| {
+            parting.searcher.listed().searcher == *searcher
+                && parting.until > tokio::time::Instant::now()
+        });
+        found.map(|parting| parting.searcher.clone())
+    }
+}
+
+fn deadline(timeout_ms: u32) -> tokio::time::Instant {
+    tokio::time::Instant::now() + time::Duration::from_millis(timeout_ms.into())
+}
+
+fn find<'a>(
+    owned: &'a [sync::Arc<searcher::Searcher>],
+    searcher: &ids::SearcherName,
+) -> Option<&'a sync::Arc<searcher::Searcher>> {
+    let index = owned.binary_search_by(|o| o.listed().searcher.cmp(searcher)).ok()?;
+    owned.get(index)
+}
+
+fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+fn read<T>(lock: &sync::RwLock<T>) -> sync::RwLockReadGuard<'_, T> {
+    lock.read().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+fn write<T>(lock: &sync::RwLock<T>) -> sync::RwLockWriteGuard<'_, T> {
+    lock.write().unwrap_or_else(sync::PoisonError::into_inner)
+}
