A searcher that can take all isn't averaged down

Cause: with slow searchers, 0.2 to 0.4 % of the queries at half load were still refused early: the stale share of an avoided replica lowered the mean of its shard (seen by printing the shares at each refusal).

--- a/src/admit.rs
+++ b/src/admit.rs
@@ -266,6 +266,9 @@
         call: &choose::Call,
     ) -> f64 {
         let chosen = self.share(now_us, call.searcher, rank);
+        if chosen >= 1.0 {
+            return chosen;
+        }
         let mut sum = chosen;
         let mut count = 1.0;
         for holder in layout.holders_of(call) {
