--- a/src/admit.rs
+++ b/src/admit.rs
@@ -13,6 +13,8 @@
 
 /// The share of the slots' time that is planned for.
 const TARGET_UTILISATION: f64 = 0.95;
+/// What is granted for a floor, as a multiple of it: shares are measured, and a floor is a promise.
+const FLOOR_MARGIN: f64 = 1.05;
 /// How long service times are remembered.
 const SERVICE_TIME_CONSTANT_US: u64 = 2_000_000;
 /// How much of a shortfall is made up for in a second.
@@ -68,7 +70,7 @@
     /// A controller that has seen nothing. `service_us` is assumed until a service time is seen.
     pub fn new(now_us: u64, floors_percent: [u8; rank::RANK_COUNT], service_us: u64) -> Self {
         Self {
-            floors: floors_percent.map(|percent| f64::from(percent) / 100.0),
+            floors: floors_percent.map(|percent| FLOOR_MARGIN * f64::from(percent) / 100.0),
             offered: [estimate::Rate::new(now_us); rank::RANK_COUNT],
             received: [0; rank::RANK_COUNT],
             corrections: [1.0; rank::RANK_COUNT],
