Hedges are looked at again, and urgent ones have a reserve

Cause: a hedge was decided once, at the 95th percentile; with the budget empty at that moment the call was never hedged. Calls to a searcher that had gone silent were then late, and urgent ones among many long calls. Change: the entry looks again after each delay while the call has no hedge; ranks leave part of the budget to the more urgent ones.

--- a/src/hedge.rs
+++ b/src/hedge.rs
@@ -1,9 +1,12 @@
 //! Extra shard calls: hedges against stragglers and retries after refusals, each within a budget.
 
 use crate::estimate;
+use crate::rank;
 
 /// The most extra calls that a budget saves up.
 const SAVED_MAX: f64 = 20.0;
+/// What a rank leaves in the budget for the more urgent ones, in the order of [`rank::Rank::ALL`].
+const RESERVED: [f64; rank::RANK_COUNT] = [0.0, 5.0, 10.0];
 /// Retries allowed, in percent of the shard calls that queries need.
 const RETRY_PERCENT: u8 = 10;
 /// The quantile of latencies after which a call is hedged.
@@ -32,9 +35,9 @@
         self.saved = (self.saved + earned).min(SAVED_MAX);
     }
 
-    /// Takes one extra call from the budget, if there is one.
-    pub fn spend(&mut self) -> bool {
-        if self.saved < 1.0 {
+    /// Takes one extra call from the budget, if there is one beside what is reserved.
+    pub fn spend(&mut self, rank: rank::Rank) -> bool {
+        if self.saved < 1.0 + RESERVED[rank.index()] {
             return false;
         }
         self.saved -= 1.0;
@@ -71,7 +74,8 @@
         self.latencies.record(latency_us);
     }
 
-    /// How long to wait for an answer before a hedge, or `None` while too little is known.
+    /// How long to wait for an answer before a hedge, or `None` while too little is known. A call that
+    /// could not be hedged then, for want of budget, is looked at again after the same time.
     pub fn delay_us(&self) -> Option<u64> {
         if self.latencies.sample_count() < SAMPLES_MIN {
             return None;
@@ -81,13 +85,13 @@
     }
 
     /// Whether to hedge now; a hedge that is allowed is counted. `saturated` tells whether the owner
-    /// of the hedge's target admits less than all.
-    pub fn hedge(&mut self, saturated: bool) -> bool {
-        !saturated && self.hedges.spend()
+    /// of the hedge's target admits less than all of the rank.
+    pub fn hedge(&mut self, rank: rank::Rank, saturated: bool) -> bool {
+        !saturated && self.hedges.spend(rank)
     }
 
     /// Whether to retry a refused call elsewhere now; a retry that is allowed is counted.
-    pub fn retry(&mut self, saturated: bool) -> bool {
-        !saturated && self.retries.spend()
+    pub fn retry(&mut self, rank: rank::Rank, saturated: bool) -> bool {
+        !saturated && self.retries.spend(rank)
     }
 }
--- a/tests/driver/mod.rs
+++ b/tests/driver/mod.rs
@@ -352,7 +352,7 @@
             self.send(index, part, call.searcher);
             let at = &mut self.entries[entry];
             if let Some(slow) = at.chooser.probe(self.now_us, &self.layout, call)
-                && at.hedger.hedge(false)
+                && at.hedger.hedge(rank, false)
             {
                 self.extra_calls += 1;
                 self.send(index, part, slow);
@@ -544,7 +544,7 @@
         if calls.iter().any(|call| !self.calls[*call].over) {
             return;
         }
-        if self.extra(query, part, |hedger, saturated| hedger.retry(saturated)) {
+        if self.extra(query, part, |hedger, rank, saturated| hedger.retry(rank, saturated)) {
             return;
         }
         self.end(query, Ending::RefusedLater);
@@ -555,7 +555,7 @@
         &mut self,
         query: usize,
         part: usize,
-        allow: impl Fn(&mut hedge::Hedger, bool) -> bool,
+        allow: impl Fn(&mut hedge::Hedger, rank::Rank, bool) -> bool,
     ) -> bool {
         if self.setup.policy == policy::Policy::Plain {
             return false;
@@ -570,7 +570,7 @@
             return false;
         };
         let saturated = at.gate.share(self.now_us, searcher, rank) < 1.0;
-        if !allow(&mut at.hedger, saturated) {
+        if !allow(&mut at.hedger, rank, saturated) {
             return false;
         }
         self.extra_calls += 1;
@@ -582,12 +582,16 @@
         if self.queries[query].ending != Ending::Open {
             return;
         }
+        if let Some(delay_us) = self.entries[self.queries[query].entry].hedger.delay_us() {
+            self.push(delay_us, Event::Hedge(query));
+        }
         for part in 0..self.queries[query].parts.len() {
-            if self.queries[query].parts[part].answered {
+            let asked = &self.queries[query].parts[part];
+            if asked.answered || asked.calls.len() > 1 {
                 continue;
             }
             self.overdue(query, part);
-            self.extra(query, part, |hedger, saturated| hedger.hedge(saturated));
+            self.extra(query, part, |hedger, rank, saturated| hedger.hedge(rank, saturated));
         }
     }
 
