--- a/src/drive.rs
+++ b/src/drive.rs
@@ -52,6 +52,7 @@
     attempt: ids::AttemptId,
     searcher: ids::SearcherName,
     sent_us: u64,
+    looked_us: u64,
 }
 
 struct Batch {
@@ -160,7 +161,7 @@
             if !open.iter().any(|open| open.attempt == sent.attempt) {
                 continue;
             }
-            oldest_us = Some(oldest_us.map_or(sent.sent_us, |oldest| oldest.min(sent.sent_us)));
+            oldest_us = Some(oldest_us.map_or(sent.looked_us, |oldest| oldest.min(sent.looked_us)));
         }
         let due_us = oldest_us? + delay_us;
         let left_us = due_us.saturating_sub(self.start.node.now_us());
@@ -175,24 +176,25 @@
         };
         let open = query.slow_attempts(u64::MAX);
         let mut outputs = Vec::new();
-        for sent in &self.sent {
-            let age_us = now_us.saturating_sub(sent.sent_us);
-            if age_us < delay_us || !open.iter().any(|open| open.attempt == sent.attempt) {
+        for sent in &mut self.sent {
+            let looked_ago_us = now_us.saturating_sub(sent.looked_us);
+            if looked_ago_us < delay_us || !open.iter().any(|open| open.attempt == sent.attempt) {
                 continue;
             }
+            sent.looked_us = now_us;
+            let age_us = now_us.saturating_sub(sent.sent_us);
             let allowed = lock(&self.start.traffic).may_hedge(
                 now_us,
                 self.start.call.rank,
                 &sent.searcher,
                 age_us,
             );
+            if !allowed {
+                continue;
+            }
             query.choose_mut().now_us = now_us;
-            query.choose_mut().denied = !allowed;
             let sends = query.hedge(self.start.node.now_ms(), sent.attempt);
-            query.choose_mut().denied = false;
-            if allowed {
-                lock(&self.start.traffic).hedged(self.start.call.rank, sends.len() as u32);
-            }
+            lock(&self.start.traffic).hedged(self.start.call.rank, sends.len() as u32);
             outputs.extend(sends);
         }
         outputs
@@ -220,6 +222,7 @@
             attempt: call.attempt,
             searcher: call.searcher.clone(),
             sent_us: node.now_us(),
+            looked_us: node.now_us(),
         });
         lock(&self.start.traffic).sent(&call.searcher);
         let Some(owner) = node.owner_of(&call.searcher) else {
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -190,13 +190,13 @@
         };
         self.chooser.overdue(now_us, index, age_us);
         let saturated = self.saturated(now_us, rank);
-        self.hedgers[rank.index()].hedge(saturated)
+        self.hedgers[rank.index()].hedge(rank, saturated)
     }
 
     /// Whether a call that was refused for want of room may be sent elsewhere.
     pub fn may_retry(&mut self, now_us: u64, rank: rank::Rank) -> bool {
         let saturated = self.saturated(now_us, rank);
-        self.hedgers[rank.index()].retry(saturated)
+        self.hedgers[rank.index()].retry(rank, saturated)
     }
 
     /// Counts a hedge that took `calls` calls, since no one searcher has all of its shards.
@@ -213,7 +213,7 @@
         call: &choose::Call,
     ) -> Option<u16> {
         let probed = self.chooser.probe(now_us, layout, call)?;
-        if !self.hedgers[rank.index()].hedge(false) {
+        if !self.hedgers[rank.index()].hedge(rank, false) {
             return None;
         }
         Some(probed)
--- a/tests/driver/mod.rs
+++ b/tests/driver/mod.rs
@@ -92,10 +92,6 @@
 }
 
 impl Tally {
-    pub fn served_share(&self) -> f64 {
-        self.latencies_us.len() as f64 / self.arrived.max(1) as f64
-    }
-
     pub fn quantile_ms(&self, share: f64) -> f64 {
         let mut sorted = self.latencies_us.clone();
         sorted.sort_unstable();
@@ -356,7 +352,7 @@
             self.send(index, part, call.searcher);
             let at = &mut self.entries[entry];
             if let Some(slow) = at.chooser.probe(self.now_us, &self.layout, call)
-                && at.hedger.hedge(false)
+                && at.hedger.hedge(rank, false)
             {
                 self.extra_calls += 1;
                 self.send(index, part, slow);
@@ -517,7 +513,11 @@
         at.gate.learn(self.now_us, searcher, admit::Fractions(fractions));
         let [slots, in_use, queued, service_us] = report;
         let (slots, in_use, queued) = (slots as u16, in_use as u16, queued as u16);
-        at.chooser.reported(searcher, choose::Report { slots, in_use, queued, service_us });
+        at.chooser.reported(
+            self.now_us,
+            searcher,
+            choose::Report { slots, in_use, queued, service_us },
+        );
         if answered {
             at.chooser.answered(self.now_us, searcher, latency_us);
             at.hedger.answered(latency_us);
@@ -544,7 +544,7 @@
         if calls.iter().any(|call| !self.calls[*call].over) {
             return;
         }
-        if self.extra(query, part, |hedger, saturated| hedger.retry(saturated)) {
+        if self.extra(query, part, |hedger, rank, saturated| hedger.retry(rank, saturated)) {
             return;
         }
         self.end(query, Ending::RefusedLater);
@@ -555,7 +555,7 @@
         &mut self,
         query: usize,
         part: usize,
-        allow: impl Fn(&mut hedge::Hedger, bool) -> bool,
+        allow: impl Fn(&mut hedge::Hedger, rank::Rank, bool) -> bool,
     ) -> bool {
         if self.setup.policy == policy::Policy::Plain {
             return false;
@@ -570,7 +570,7 @@
             return false;
         };
         let saturated = at.gate.share(self.now_us, searcher, rank) < 1.0;
-        if !allow(&mut at.hedger, saturated) {
+        if !allow(&mut at.hedger, rank, saturated) {
             return false;
         }
         self.extra_calls += 1;
@@ -582,12 +582,16 @@
         if self.queries[query].ending != Ending::Open {
             return;
         }
+        if let Some(delay_us) = self.entries[self.queries[query].entry].hedger.delay_us() {
+            self.push(delay_us, Event::Hedge(query));
+        }
         for part in 0..self.queries[query].parts.len() {
-            if self.queries[query].parts[part].answered {
+            let asked = &self.queries[query].parts[part];
+            if asked.answered || asked.calls.len() > 1 {
                 continue;
             }
             self.overdue(query, part);
-            self.extra(query, part, |hedger, saturated| hedger.hedge(saturated));
+            self.extra(query, part, |hedger, rank, saturated| hedger.hedge(rank, saturated));
         }
     }
 
