--- /dev/null
+++ b/src/log.rs
@@ -0,0 +1,73 @@
+//! Sets up the logs: text for people, or a JSON object on each line.
+
+use std::env;
+use std::io;
+use std::io::IsTerminal as _;
+use tracing_subscriber::filter;
+use tracing_subscriber::fmt;
+use tracing_subscriber::fmt::format;
+
+/// The environment variable with the filter; it goes before the one that is passed in.
+pub const FILTER_VARIABLE: &str = "RUST_LOG";
+
+/// How a line looks.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    serde::Deserialize,
+    strum::Display,
+    strum::EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Format {
+    /// Text.
+    #[default]
+    Text,
+    /// A JSON object with the event's fields at its top, and the spans it happened in.
+    Json,
+}
+
+/// Why the logs could not be set up.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum InitError {
+    /// The filter is malformed.
+    #[error("the log filter is malformed: {0}")]
+    Filter(String),
+    /// Logs were set up before.
+    #[error("logs are set up already")]
+    AlreadySetUp,
+}
+
+/// Logs to standard error from now on. `filter` is like `info` or `warn,tarragondoor=debug`.
+///
+/// # Errors
+///
+/// When the filter is malformed, or logs were set up before.
+pub fn init(format: Format, filter: &str) -> Result<(), InitError> {
+    let filter = env::var(FILTER_VARIABLE).unwrap_or_else(|_| filter.to_owned());
+    let filter = parse_filter(&filter)?;
+    let builder = fmt::Subscriber::builder()
+        .with_env_filter(filter)
+        .with_writer(io::stderr)
+        .with_ansi(io::stderr().is_terminal())
+        .with_span_events(format::FmtSpan::CLOSE);
+    let result = match format {
+        Format::Text => builder.try_init(),
+        Format::Json => builder.json().flatten_event(true).try_init(),
+    };
+    result.map_err(|_| InitError::AlreadySetUp)
+}
+
+/// Parses a filter.
+///
+/// # Errors
+///
+/// When it is malformed.
+pub fn parse_filter(filter: &str) -> Result<filter::EnvFilter, InitError> {
+    filter::EnvFilter::builder().parse(filter).map_err(|error| InitError::Filter(error.to_string()))
+}
