--- a/tests/cli_support/mod.rs
+++ b/tests/cli_support/mod.rs
@@ -1,5 +1,7 @@
 //! A server with canned answers, and the client's program.
 
+#![allow(dead_code, reason = "each test program uses a part of it")]
+
 use std::io::{Read as _, Write as _};
 use std::net;
 use std::process;
