Members: compare digests sooner while they find something

Cause: 100 nodes that start at once agreed after 11.15 s: gossip among the first to join misses some, and the next comparison was 10 s off. Change: the period starts at 1 s and doubles to 10 s; it starts again when a comparison found something.

--- a/src/member.rs
+++ b/src/member.rs
@@ -143,8 +143,10 @@
     pub gossip_fanout: usize,
     /// An update is sent this many times log10 of the members' number.
     pub retransmit_factor: u32,
-    /// Between two comparisons of digests with a random member.
+    /// Between two comparisons of digests with a random member, when they find nothing.
     pub sync_period_ms: u64,
+    /// The same just after one found something.
+    pub sync_interval_min_ms: u64,
     /// Between two attempts to reach an Unreachable member.
     pub reprobe_period_ms: u64,
     /// Between two attempts to join while no other member is live.
@@ -168,6 +170,7 @@
             gossip_fanout: 2,
             retransmit_factor: 4,
             sync_period_ms: 10_000,
+            sync_interval_min_ms: 1_000,
             reprobe_period_ms: 2_000,
             join_period_ms: 1_000,
             forget_ms: 600_000,
--- a/src/member/machine.rs
+++ b/src/member/machine.rs
@@ -33,6 +33,8 @@
     pub(super) next_probe_ms: u64,
     pub(super) next_gossip_ms: u64,
     pub(super) next_sync_ms: u64,
+    /// Between two comparisons: short while they find something, up to the configured period.
+    pub(super) sync_interval_ms: u64,
     pub(super) next_reprobe_ms: u64,
     pub(super) next_join_ms: u64,
     /// Until when Unreachable members are tried more often, since one came back.
@@ -70,6 +72,7 @@
             next_probe_ms: 0,
             next_gossip_ms: 0,
             next_sync_ms: 0,
+            sync_interval_ms: 0,
             next_reprobe_ms: 0,
             next_join_ms: 0,
             eager_until_ms: 0,
--- a/src/member/rumors.rs
+++ b/src/member/rumors.rs
@@ -47,7 +47,7 @@
         if spread {
             self.updates.push(&name);
         } else {
-            self.next_sync_ms = self.next_sync_ms.min(now_ms + self.config.probe_period_ms);
+            self.sync_soon(now_ms);
         }
         self.adopt(now_ms, record);
         if suspected {
--- a/src/member/sync.rs
+++ b/src/member/sync.rs
@@ -30,7 +30,13 @@
         }
         let index = self.rng.random_range(0..addresses.len());
         self.join(addresses[index]);
-        self.next_sync_ms = self.next_sync_ms.min(now_ms + self.config.join_period_ms);
+        self.sync_soon(now_ms);
+    }
+
+    /// Compares again soon, since something was missing.
+    pub(super) fn sync_soon(&mut self, now_ms: u64) {
+        self.sync_interval_ms = self.config.sync_interval_min_ms;
+        self.next_sync_ms = self.next_sync_ms.min(now_ms + self.sync_interval_ms);
     }
 
     fn is_members(&self, address: net::SocketAddr) -> bool {
@@ -83,7 +89,9 @@
         if now_ms < self.next_sync_ms {
             return;
         }
-        self.next_sync_ms = now_ms + self.config.sync_period_ms;
+        self.sync_interval_ms = (self.sync_interval_ms * 2)
+            .clamp(self.config.sync_interval_min_ms, self.config.sync_period_ms);
+        self.next_sync_ms = now_ms + self.sync_interval_ms;
         let Some(peer) = self.random_peer(|record| record.state.is_probed()) else {
             return;
         };
--- a/tests/member_measure.rs
+++ b/tests/member_measure.rs
@@ -84,6 +84,41 @@
     }
 }
 
+fn heal(count: usize, seed: u64) -> (u64, f64) {
+    let mut net = Net::settled(count, seed);
+    net.parted = true;
+    net.run(600_000);
+    net.parted = false;
+    let before = net.sent;
+    let took_ms = net.run_until(600_000, Net::agrees).unwrap_or(u64::MAX);
+    (took_ms, (net.sent - before) as f64 * 1_000.0 / took_ms as f64 / count as f64)
+}
+
+#[test]
+#[ignore = "a measurement of minutes; run with --release --ignored --nocapture"]
+fn healing_time() {
+    for count in [7, 60, 100, 200] {
+        let mut took = Vec::new();
+        let mut rate = 0_f64;
+        for seed in 1..=5 {
+            let (took_ms, messages_per_s) = heal(count, seed);
+            took.push(took_ms);
+            rate = rate.max(messages_per_s);
+        }
+        println!("{count} members, 5 seeds: {} ms, {rate:.1} messages/s", quantiles(took));
+    }
+}
+
+#[test]
+#[ignore = "a measurement of minutes; run with --release --ignored --nocapture"]
+fn joining_time() {
+    for count in [7, 50, 100, 200, 400] {
+        let took = (1..=5)
+            .map(|seed| Net::new(count, seed).run_until(600_000, Net::agrees).unwrap_or(u64::MAX));
+        println!("{count} at once, 5 seeds: {} ms", quantiles(took.collect()));
+    }
+}
+
 #[test]
 fn no_false_verdicts_with_little_loss() {
     for seed in 1..=3 {
