Membership's cost for a node, by the number of members

A function that later programs call: member::slopes::run(sizes, seed). Each message is encoded, sealed, opened and decoded; the system calls are not in it.

--- a/src/member.rs
+++ b/src/member.rs
@@ -9,6 +9,7 @@
 mod probing;
 mod receive;
 mod rumors;
+pub mod slopes;
 mod step;
 mod sync;
 mod table;
--- a/src/member/machine.rs
+++ b/src/member/machine.rs
@@ -104,6 +104,19 @@
         self.table.find(name).map(|entry| &entry.record)
     }
 
+    /// The memory that the members take here, in bytes, without names that are longer than 24 bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let round = self.round.capacity() * size_of::<ids::InstanceName>();
+        let rumors = self.rumors.capacity() * size_of::<member::Record>();
+        let listed = self.listed.capacity() * size_of::<(ids::InstanceName, net::SocketAddr)>();
+        size_of::<Self>()
+            + self.table.memory_bytes()
+            + self.updates.memory_bytes()
+            + round
+            + rumors
+            + listed
+    }
+
     /// Takes one input at `now_ms`, which never goes back.
     pub fn step(&mut self, now_ms: u64, input: Input) -> Vec<Output> {
         self.note_pause(now_ms);
--- /dev/null
+++ b/src/member/slopes.rs
@@ -0,0 +1,97 @@
+//! What membership costs a node, by the number of members: state machines in one thread, without sockets.
+//!
+//! Each message is encoded, sealed, opened and decoded as on a node. The processor time holds that of the queue
+//! between the nodes too; the system calls for the datagrams are not in it.
+
+mod fleet;
+
+use crate::member;
+use std::fs;
+use std::hint;
+use strum::IntoEnumIterator as _;
+
+/// How long a fleet settles, in virtual seconds.
+const SETTLE_S: u64 = 60;
+/// How long it is measured, in virtual seconds.
+const MEASURE_S: u64 = 300;
+/// The share of datagrams lost under [`Load::Loss`].
+const LOSS: f64 = 0.02;
+/// What IP and UDP add to a datagram, in bytes.
+pub const IP_UDP_BYTES: u64 = 28;
+
+/// What happens to the fleet while it is measured.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumIter)]
+#[strum(serialize_all = "snake_case")]
+pub enum Load {
+    /// Nothing.
+    Steady,
+    /// Two datagrams in a hundred are lost.
+    Loss,
+    /// 850 graceful restarts and 15 kills a day, whatever the number of members.
+    Churn,
+}
+
+/// What one node of a fleet spent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Row {
+    /// The number of members.
+    pub members: usize,
+    /// What happened.
+    pub load: Load,
+    /// Processor time, in percent of one core.
+    pub cpu_percent: f64,
+    /// Messages sent, each second; as many come in.
+    pub sent_per_s: f64,
+    /// Bytes sent with IP and UDP headers, each second; as many come in.
+    pub sent_bytes_per_s: f64,
+    /// The most that a node sent in one second, in bytes.
+    pub sent_bytes_peak: u64,
+    /// Memory of the state machine, the view and the replay windows, in bytes.
+    pub memory_bytes: usize,
+    /// How many members of how many nodes' tables are live at the end, in percent of what should be.
+    pub agreement_percent: f64,
+}
+
+/// Measures fleets of the given sizes under each load.
+pub fn run(sizes: &[usize], seed: u64) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for members in sizes {
+        for load in Load::iter() {
+            rows.push(measure(*members, load, seed));
+        }
+    }
+    rows
+}
+
+fn measure(members: usize, load: Load, seed: u64) -> Row {
+    let mut fleet = fleet::Fleet::new(members, seed);
+    fleet.run(SETTLE_S, Load::Steady);
+    fleet.reset_counters();
+    fleet.set_loss(if load == Load::Loss { LOSS } else { 0.0 });
+    let start_ns = cpu_ns();
+    fleet.run(MEASURE_S, load);
+    let spent_ns = cpu_ns().saturating_sub(start_ns);
+    let node_seconds = (members as u64 * MEASURE_S) as f64;
+    let counters = hint::black_box(fleet.counters());
+    Row {
+        members,
+        load,
+        cpu_percent: spent_ns as f64 / 1e9 / node_seconds * 100.0,
+        sent_per_s: counters.sent as f64 / node_seconds,
+        sent_bytes_per_s: counters.sent_bytes as f64 / node_seconds,
+        sent_bytes_peak: counters.sent_bytes_peak,
+        memory_bytes: fleet.memory_bytes(),
+        agreement_percent: fleet.agreement_percent(),
+    }
+}
+
+/// The processor time of this thread, in nanoseconds; 0 where the system does not tell.
+fn cpu_ns() -> u64 {
+    let text = fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    text.split_whitespace().next().and_then(|field| field.parse().ok()).unwrap_or(0)
+}
+
+/// The memory of a view of `members` records, in bytes.
+fn view_bytes(members: usize) -> usize {
+    size_of::<member::View>() + members * size_of::<member::Record>()
+}
--- /dev/null
+++ b/src/member/slopes/fleet.rs
@@ -0,0 +1,299 @@
+//! The state machines of all nodes and the queue between them.
+
+use crate::ids;
+use crate::member;
+use crate::member::slopes;
+use crate::member::{machine, message};
+use crate::seal;
+use rand::rngs;
+use rand::{RngExt, SeedableRng};
+use std::cmp;
+use std::collections;
+use std::hint;
+use std::net;
+
+const TICK_MS: u64 = 50;
+const LATENCY_MS: u64 = 1;
+const SECOND_MS: u64 = 1_000;
+/// One restart or kill every so often: 850 and 15 a day.
+const CHURN_PERIOD_MS: u64 = 24 * 3_600 * SECOND_MS / 865;
+/// Of so many of them, one is a kill.
+const KILL_EVERY: u64 = 58;
+/// Between the announcement of a leave and the end of the process.
+const LEAVE_MS: u64 = 5_000;
+/// Between the end of a process and the start of the next.
+const REPLACE_MS: u64 = 10_000;
+const KEY: [u8; seal::KEY_BYTES] = [7; seal::KEY_BYTES];
+const PORT: u16 = 7_000;
+
+#[derive(Debug)]
+enum Due {
+    Tick { node: usize, boot: ids::BootId },
+    Datagram { from: net::SocketAddr, to: usize, bytes: Vec<u8> },
+    Churn { number: u64 },
+    Depart { node: usize },
+    Start { node: usize },
+}
+
+#[derive(Debug)]
+struct Node {
+    machine: machine::Membership,
+    sealer: seal::Sealer,
+    opener: seal::Opener,
+    running: bool,
+    second_bytes: u64,
+}
+
+/// What all nodes together sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Counters {
+    pub(super) sent: u64,
+    pub(super) sent_bytes: u64,
+    /// The most that one node sent in a second.
+    pub(super) sent_bytes_peak: u64,
+}
+
+/// The nodes and the queue.
+#[derive(Debug)]
+pub(super) struct Fleet {
+    nodes: Vec<Node>,
+    queue: collections::BinaryHeap<cmp::Reverse<(u64, u64)>>,
+    slots: collections::BTreeMap<u64, Due>,
+    sequence: u64,
+    now_ms: u64,
+    second_ms: u64,
+    rng: rngs::SmallRng,
+    counters: Counters,
+    loss: f64,
+}
+
+impl Fleet {
+    /// Nodes that start at once and know the first two.
+    pub(super) fn new(members: usize, seed: u64) -> Self {
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            queue: collections::BinaryHeap::new(),
+            slots: collections::BTreeMap::new(),
+            sequence: 0,
+            now_ms: 0,
+            second_ms: 0,
+            rng: rngs::SmallRng::seed_from_u64(seed),
+            counters: Counters::default(),
+            loss: 0.0,
+        };
+        for index in 0..members {
+            let node = fleet.node(index, ids::BootId(1));
+            fleet.nodes.push(node);
+            fleet.start_ticks(index);
+        }
+        fleet
+    }
+
+    pub(super) fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    pub(super) fn reset_counters(&mut self) {
+        self.counters = Counters::default();
+    }
+
+    pub(super) fn set_loss(&mut self, share: f64) {
+        self.loss = share;
+    }
+
+    pub(super) fn memory_bytes(&self) -> usize {
+        let Some(node) = self.nodes.first() else {
+            return 0;
+        };
+        let windows = node.opener.memory_bytes();
+        node.machine.memory_bytes() + slopes::view_bytes(self.nodes.len()) + windows
+    }
+
+    /// How much of what the running nodes should hold live they do.
+    pub(super) fn agreement_percent(&self) -> f64 {
+        let running = self.nodes.iter().filter(|node| node.running).count();
+        let mut live = 0;
+        for node in self.nodes.iter().filter(|node| node.running) {
+            let records = node.machine.records();
+            live += records.iter().filter(|record| record.state.is_live()).count();
+        }
+        live as f64 * 100.0 / (running * running) as f64
+    }
+
+    pub(super) fn run(&mut self, duration_s: u64, load: slopes::Load) {
+        let end_ms = self.now_ms + duration_s * SECOND_MS;
+        if load == slopes::Load::Churn {
+            self.push(CHURN_PERIOD_MS / 2, Due::Churn { number: 1 });
+        }
+        while let Some(cmp::Reverse((due_ms, sequence))) = self.queue.peek().copied() {
+            if due_ms > end_ms {
+                break;
+            }
+            self.queue.pop();
+            self.now_ms = due_ms;
+            self.count_second();
+            if let Some(due) = self.slots.remove(&sequence) {
+                self.handle(due);
+            }
+        }
+        self.now_ms = end_ms;
+    }
+
+    fn handle(&mut self, due: Due) {
+        match due {
+            Due::Tick { node, boot } => {
+                if self.nodes[node].running && self.nodes[node].machine.me().boot == boot {
+                    self.step(node, machine::Input::Tick);
+                    self.push(TICK_MS, Due::Tick { node, boot });
+                }
+            }
+            Due::Datagram { from, to, bytes } => self.deliver(from, to, &bytes),
+            Due::Churn { number } => self.churn(number),
+            Due::Depart { node } => {
+                self.step(node, machine::Input::Depart);
+                self.end(node);
+            }
+            Due::Start { node } => {
+                let boot = ids::BootId(self.nodes[node].machine.me().boot.0 + 1);
+                self.nodes[node] = self.node(node, boot);
+                self.start_ticks(node);
+            }
+        }
+    }
+
+    fn churn(&mut self, number: u64) {
+        self.push(CHURN_PERIOD_MS, Due::Churn { number: number + 1 });
+        let node = self.rng.random_range(0..self.nodes.len());
+        if !self.nodes[node].running {
+            return;
+        }
+        if number.is_multiple_of(KILL_EVERY) {
+            self.end(node);
+            return;
+        }
+        self.step(node, machine::Input::Leave);
+        self.push(LEAVE_MS, Due::Depart { node });
+    }
+
+    fn end(&mut self, node: usize) {
+        self.nodes[node].running = false;
+        self.push(REPLACE_MS, Due::Start { node });
+    }
+
+    fn deliver(&mut self, from: net::SocketAddr, to: usize, bytes: &[u8]) {
+        let node = &mut self.nodes[to];
+        if !node.running {
+            return;
+        }
+        let Ok(opened) = node.opener.open(bytes, self.now_ms) else {
+            return;
+        };
+        let Ok(message) = message::Message::decode(opened.body) else {
+            return;
+        };
+        self.step(to, machine::Input::Datagram { from, message });
+    }
+
+    fn step(&mut self, index: usize, input: machine::Input) {
+        let node = &mut self.nodes[index];
+        let mut changed = false;
+        let mut datagrams = Vec::new();
+        for output in node.machine.step(self.now_ms, input) {
+            match output {
+                machine::Output::Send(to, message) => {
+                    datagrams.push((to, node.sealer.seal(&message.encode(), self.now_ms)));
+                }
+                machine::Output::Event(machine::Event::Changed(_)) => changed = true,
+                machine::Output::Event(_) => {}
+            }
+        }
+        if changed {
+            hint::black_box(node.machine.records());
+        }
+        let from = node.machine.me().peer_address;
+        for (to, bytes) in datagrams {
+            self.send(index, from, to, bytes);
+        }
+    }
+
+    fn send(&mut self, index: usize, from: net::SocketAddr, to: net::SocketAddr, bytes: Vec<u8>) {
+        let size_bytes = bytes.len() as u64 + slopes::IP_UDP_BYTES;
+        self.counters.sent += 1;
+        self.counters.sent_bytes += size_bytes;
+        self.nodes[index].second_bytes += size_bytes;
+        if self.loss > 0.0 && self.rng.random_bool(self.loss) {
+            return;
+        }
+        if let Some(to) = index_of(to).filter(|to| *to < self.nodes.len()) {
+            self.push(LATENCY_MS, Due::Datagram { from, to, bytes });
+        }
+    }
+
+    fn count_second(&mut self) {
+        if self.now_ms < self.second_ms {
+            return;
+        }
+        self.second_ms = self.now_ms + SECOND_MS;
+        for node in &mut self.nodes {
+            let bytes = std::mem::take(&mut node.second_bytes);
+            self.counters.sent_bytes_peak = self.counters.sent_bytes_peak.max(bytes);
+        }
+    }
+
+    fn node(&mut self, index: usize, boot: ids::BootId) -> Node {
+        let me = record(index, boot);
+        let seeds = vec![address(0), address(1)];
+        let config = member::Config::default();
+        let key = seal::ClusterKey::from_bytes(KEY);
+        Node {
+            machine: machine::Membership::new(me, config, seeds, self.rng.random()),
+            sealer: seal::Sealer::new(key.clone(), boot, index as u64),
+            opener: seal::Opener::new(key),
+            running: true,
+            second_bytes: 0,
+        }
+    }
+
+    fn start_ticks(&mut self, node: usize) {
+        let boot = self.nodes[node].machine.me().boot;
+        let delay_ms = self.rng.random_range(0..TICK_MS);
+        self.push(delay_ms, Due::Tick { node, boot });
+    }
+
+    fn push(&mut self, delay_ms: u64, due: Due) {
+        self.sequence += 1;
+        self.queue.push(cmp::Reverse((self.now_ms + delay_ms, self.sequence)));
+        self.slots.insert(self.sequence, due);
+    }
+}
+
+fn address(index: usize) -> net::SocketAddr {
+    let [_, _, high, low] = (index as u32).to_be_bytes();
+    net::SocketAddr::from(([10, 0, high, low], PORT))
+}
+
+fn index_of(address: net::SocketAddr) -> Option<usize> {
+    match address.ip() {
+        net::IpAddr::V4(ip) => {
+            let [_, _, high, low] = ip.octets();
+            Some(usize::from(u16::from_be_bytes([high, low])))
+        }
+        net::IpAddr::V6(_) => None,
+    }
+}
+
+fn record(index: usize, boot: ids::BootId) -> member::Record {
+    let text = "the generated names are valid";
+    member::Record {
+        name: format!("entry-{index:04}").parse().expect(text),
+        boot,
+        incarnation: ids::Incarnation(0),
+        state: member::State::Alive,
+        peer_address: address(index),
+        caller_address: address(index),
+        region: format!("region-{}", index % 2).parse().expect(text),
+        failure_domain: format!("region-{}-domain-{}", index % 2, index / 2 % 2)
+            .parse()
+            .expect(text),
+    }
+}
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -57,6 +57,11 @@
         &mut self.entries
     }
 
+    pub(super) fn memory_bytes(&self) -> usize {
+        self.entries.capacity() * size_of::<Entry>()
+            + self.forgotten.capacity() * size_of::<Forgotten>()
+    }
+
     pub(super) fn find(&self, name: &ids::InstanceName) -> Option<&Entry> {
         self.entries.get(self.index(name).ok()?)
     }
--- a/src/member/updates.rs
+++ b/src/member/updates.rs
@@ -23,6 +23,10 @@
         }
     }
 
+    pub(super) fn memory_bytes(&self) -> usize {
+        self.updates.capacity() * size_of::<Update>()
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.updates.is_empty()
     }
--- a/src/seal.rs
+++ b/src/seal.rs
@@ -179,9 +179,9 @@
         Ok(Opened { boot, body })
     }
 
-    /// How many senders are remembered.
-    pub fn senders(&self) -> usize {
-        self.windows.len()
+    /// The memory that the senders' windows take, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.windows.memory_bytes()
     }
 }
 
--- a/src/seal/window.rs
+++ b/src/seal/window.rs
@@ -45,8 +45,8 @@
         }
     }
 
-    pub(super) fn len(&self) -> usize {
-        self.windows.len()
+    pub(super) fn memory_bytes(&self) -> usize {
+        self.windows.capacity() * size_of::<Window>()
     }
 
     fn sweep(&mut self, now_ms: u64) {
--- a/tests/member_measure.rs
+++ b/tests/member_measure.rs
@@ -80,7 +80,10 @@
 #[ignore = "a measurement of minutes; run with --release --ignored --nocapture"]
 fn false_verdicts() {
     for (count, loss) in [(7, 0.02), (7, 0.3), (100, 0.02), (400, 0.02), (100, 0.1), (100, 0.3)] {
-        println!("{count} members, loss {loss}, 10 min: {:?}", judge(count, loss, 10, 1));
+        let Judgement { suspected, unreachable } = judge(count, loss, 10, 1);
+        println!(
+            "{count} members, loss {loss}, 10 min: {suspected} Suspect, {unreachable} Unreachable"
+        );
     }
 }
 
