--- a/src/config.rs
+++ b/src/config.rs
@@ -3,8 +3,8 @@
 //! Written in JSON with comments, read once. Secrets come from the environment.
 
 use crate::ids;
-use crate::link;
 use crate::peers;
+use crate::seal;
 use compact_str::CompactString;
 use serde::Deserialize;
 use std::net;
@@ -30,9 +30,9 @@
     /// A variable is missing in the environment.
     #[error("environment variable {0} is not set")]
     MissingVariable(&'static str),
-    /// The key is not 64 hexadecimal digits.
-    #[error("environment variable {KEY_VARIABLE} must have 64 hexadecimal digits")]
-    BadKey,
+    /// The key is malformed.
+    #[error("environment variable {KEY_VARIABLE}: {0}")]
+    BadKey(seal::ParseKeyError),
     /// The token is too short.
     #[error("environment variable {TOKEN_VARIABLE} must have at least {TOKEN_MIN_BYTES} bytes")]
     ShortToken,
@@ -93,7 +93,7 @@
 #[derive(Clone)]
 pub struct Secrets {
     /// The key that all instances share.
-    pub key: link::LinkKey,
+    pub key: seal::ClusterKey,
     /// The operators' token.
     pub token: CompactString,
 }
@@ -132,12 +132,8 @@
     if token.len() < TOKEN_MIN_BYTES {
         return Err(ConfigError::ShortToken);
     }
-    Ok(Secrets { key: parse_key(&key)?, token: token.into() })
-}
-
-fn parse_key(text: &str) -> Result<link::LinkKey, ConfigError> {
-    let hash = blake3::Hash::from_hex(text).map_err(|_| ConfigError::BadKey)?;
-    Ok(link::LinkKey(*hash.as_bytes()))
+    let key = key.parse().map_err(ConfigError::BadKey)?;
+    Ok(Secrets { key, token: token.into() })
 }
 
 fn default_address_ttl_ms() -> u32 {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -71,7 +71,9 @@
         None => settings::Settings::default(),
         Some(path) => {
             let text = std::fs::read_to_string(path).change_context(DaemonError::Config)?;
-            serde_json::from_str(&text).change_context(DaemonError::Config)?
+            let (settings, _) = crate::check::parse(&text)
+                .map_err(|_| error_stack::Report::new(DaemonError::Config))?;
+            settings
         }
     };
     let runtime = tokio::runtime::Builder::new_multi_thread()
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -2,6 +2,7 @@
 
 use crate::attempts;
 use crate::caller_api;
+use crate::gossip;
 use crate::holdings;
 use crate::home;
 use crate::ids;
@@ -42,6 +43,8 @@
     pub holdings: arc_swap::ArcSwap<holdings::Holdings>,
     /// The attempts that wait for an outcome.
     pub attempts: sync::Arc<attempts::Attempts>,
+    /// The membership.
+    pub gossip: gossip::Handle,
     /// The links to the other instances.
     pub links: sync::Arc<link::Links>,
     /// The non-idempotent requests that this boot is the home of.
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -4,10 +4,12 @@
 use crate::config;
 use crate::entry;
 use crate::events::Event;
+use crate::gossip;
 use crate::home;
 use crate::http;
 use crate::ids;
 use crate::link;
+use crate::member;
 use crate::owner;
 use crate::peer_api;
 use crate::peers;
@@ -15,10 +17,12 @@
 use crate::platform_api;
 use crate::policy;
 use crate::rank;
+use crate::seal;
 use crate::searcher;
 use crate::serve;
 use crate::settings;
 use error_stack::ResultExt as _;
+use std::net;
 use std::sync;
 use std::time;
 
@@ -52,7 +56,8 @@
         tokio::net::TcpListener::bind(config.peer_listen).await.change_context(InstanceError)?;
     let attempts: sync::Arc<attempts::Attempts> = sync::Arc::default();
     let me = config.instance.clone();
-    let links = link::Links::new(me.clone(), boot, secrets.key, attempts.clone());
+    let links = link::Links::new(me.clone(), boot, &secrets.key, attempts.clone());
+    let gossip = start_gossip(&config, boot, secrets.key)?;
     let node = sync::Arc::new(entry::Node {
         me: me.clone(),
         boot,
@@ -61,6 +66,7 @@
         settings: arc_swap::ArcSwap::from_pointee(settings),
         holdings: arc_swap::ArcSwap::default(),
         attempts,
+        gossip,
         links: sync::Arc::new(links),
         home: home::Home::new(me.clone(), boot),
         owner: sync::Arc::new(owner::Owner::new(me)),
@@ -93,13 +99,15 @@
     since.as_micros() as u64
 }
 
-async fn read_list(node: sync::Arc<entry::Node>, address: std::net::SocketAddr) {
+async fn read_list(node: sync::Arc<entry::Node>, address: net::SocketAddr) {
     let platform = platform::Platform::new(address, PLATFORM_TIMEOUT);
     loop {
         match platform.instances().await {
             Ok(list) => {
                 node.world.directory.store(sync::Arc::new(peers::Directory::new(&list)));
-                node.world.peers.store(sync::Arc::new(listed_peers(&list)));
+                if node.gossip.set_listed(listed_peers(&list)).is_err() {
+                    tracing::debug!("membership is busy; it gets the next list");
+                }
             }
             Err(error) => tracing::debug!(%error, "list not read"),
         }
@@ -107,20 +115,60 @@
     }
 }
 
-fn listed_peers(list: &platform_api::InstanceList) -> peers::Peers {
-    let mut peers = Vec::new();
+fn listed_peers(list: &platform_api::InstanceList) -> Vec<(ids::InstanceName, net::SocketAddr)> {
+    let mut listed_peers = Vec::new();
     for listed in &list.instances {
         let platform_api::Workload::Entry { instance, peer_address } = &listed.workload else {
             continue;
         };
+        listed_peers.push((instance.clone(), *peer_address));
+    }
+    listed_peers
+}
+
+fn start_gossip(
+    config: &config::Config,
+    boot: ids::BootId,
+    key: seal::ClusterKey,
+) -> Result<gossip::Handle, error_stack::Report<InstanceError>> {
+    let socket = net::UdpSocket::bind(config.peer_listen).change_context(InstanceError)?;
+    let me = member::Record {
+        name: config.instance.clone(),
+        boot,
+        incarnation: ids::Incarnation(0),
+        state: member::State::Alive,
+        peer_address: config.peer_listen,
+        caller_address: config.listen,
+        region: config.region.clone(),
+        failure_domain: config.failure_domain.clone(),
+    };
+    let gossip_config = gossip::Config {
+        me,
+        protocol: member::Config::default(),
+        seeds: config.seeds.iter().map(|seed| seed.peer_address).collect(),
+        rng_seed: rand::random(),
+        nonce: rand::random(),
+    };
+    gossip::start(gossip_config, socket, key).change_context(InstanceError)
+}
+
+/// The members that may still serve, as the data path sees them.
+fn peers_of(view: &member::View) -> peers::Peers {
+    let mut peers = Vec::new();
+    for record in &view.members {
+        let eligible = match record.state {
+            member::State::Alive | member::State::Suspect => true,
+            member::State::Leaving => false,
+            member::State::Unreachable | member::State::Left => continue,
+        };
         peers.push(peers::Peer {
-            instance: instance.clone(),
-            boot: ids::BootId(0),
-            address: *peer_address,
-            peer_address: *peer_address,
-            region: listed.region.clone(),
-            failure_domain: listed.failure_domain.clone(),
-            eligible: true,
+            instance: record.name.clone(),
+            boot: record.boot,
+            address: record.caller_address,
+            peer_address: record.peer_address,
+            region: record.region.clone(),
+            failure_domain: record.failure_domain.clone(),
+            eligible,
         });
     }
     peers::Peers::new(peers)
@@ -128,7 +176,8 @@
 
 async fn follow(node: sync::Arc<entry::Node>, serve: sync::Arc<serve::Server>) {
     loop {
-        let peers = node.world.peers.load_full();
+        let peers = sync::Arc::new(peers_of(&node.gossip.view()));
+        node.world.peers.store(peers.clone());
         let directory = node.world.directory.load_full();
         let settings = node.settings.load_full();
         node.owner.follow(&peers, &directory, |service| limits(&settings, service));
--- a/src/link.rs
+++ b/src/link.rs
@@ -8,6 +8,7 @@
 use crate::ids;
 use crate::peer_api;
 use crate::peers;
+use crate::seal;
 use std::net;
 use std::sync;
 use std::time;
@@ -29,9 +30,8 @@
 /// The frames that wait to be written to a link.
 pub type FrameSender = tokio::sync::mpsc::Sender<peer_api::Frame>;
 
-/// The key that all instances of a deployment share.
-#[derive(Clone, Copy)]
-pub struct LinkKey(pub [u8; 32]);
+/// What the links' key is drawn from the cluster's key for.
+const KEY_CONTEXT: &[u8] = b"link";
 
 /// Why nothing was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -87,7 +87,7 @@
 pub struct Links {
     me: ids::InstanceName,
     boot: ids::BootId,
-    key: LinkKey,
+    key: [u8; seal::KEY_BYTES],
     attempts: sync::Arc<attempts::Attempts>,
     up: sync::RwLock<Vec<Link>>,
     dialling: sync::Mutex<Vec<Dialling>>,
@@ -100,13 +100,13 @@
     pub fn new(
         me: ids::InstanceName,
         boot: ids::BootId,
-        key: LinkKey,
+        key: &seal::ClusterKey,
         attempts: sync::Arc<attempts::Attempts>,
     ) -> Self {
         Self {
             me,
             boot,
-            key,
+            key: key.derive(KEY_CONTEXT),
             attempts,
             up: sync::RwLock::default(),
             dialling: sync::Mutex::default(),
@@ -332,15 +332,15 @@
             frame::Side::Acceptor => frame::Side::Dialer,
         };
         let mut buffer = Vec::new();
-        frame::Codec::new(self.key.0, side).encode(&hello, &mut buffer)?;
+        frame::Codec::new(self.key, side).encode(&hello, &mut buffer)?;
         frame::write(stream, &buffer).await?;
         let rest = frame::read(stream, HELLO_MAX_BYTES).await?;
-        let peer: peer_api::Hello = frame::Codec::new(self.key.0, other).decode(&rest)?;
+        let peer: peer_api::Hello = frame::Codec::new(self.key, other).decode(&rest)?;
         let (dialer, acceptor) = match side {
             frame::Side::Dialer => (&hello.nonce, &peer.nonce),
             frame::Side::Acceptor => (&peer.nonce, &hello.nonce),
         };
-        let mut hasher = blake3::Hasher::new_keyed(&self.key.0);
+        let mut hasher = blake3::Hasher::new_keyed(&self.key);
         hasher.update(dialer);
         hasher.update(acceptor);
         let session = *hasher.finalize().as_bytes();
--- a/src/seal.rs
+++ b/src/seal.rs
@@ -42,6 +42,11 @@
     pub fn from_bytes(bytes: [u8; KEY_BYTES]) -> Self {
         Self(bytes)
     }
+
+    /// A key for another use, drawn from this one.
+    pub fn derive(&self, context: &[u8]) -> [u8; KEY_BYTES] {
+        *blake3::keyed_hash(&self.0, context).as_bytes()
+    }
 }
 
 impl fmt::Debug for ClusterKey {
