Spread: the state machine, not yet tested

Root by compare-and-swap, documents by content hash, gossip, acceptance and readiness. Two changes against the first design: an instance pushes a revision after it has applied it, not before, so that whoever is told can fetch at once; and an instance that starts or doubts announces itself by queries before the read of the root that makes it ready, so that a collector hears of it from any member that both have asked.

--- a/src/document/hash.rs
+++ b/src/document/hash.rs
@@ -21,6 +21,16 @@
     pub fn of(bytes: &[u8]) -> Self {
         Self(*blake3::hash(bytes).as_bytes())
     }
+
+    /// The hash with these bytes.
+    pub fn from_bytes(bytes: [u8; HASH_BYTES]) -> Self {
+        Self(bytes)
+    }
+
+    /// The bytes of the hash.
+    pub fn as_bytes(&self) -> &[u8; HASH_BYTES] {
+        &self.0
+    }
 }
 
 impl fmt::Display for DocumentHash {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,3 +44,4 @@
 pub mod settings;
 pub mod slots;
 pub mod snapshot;
+pub mod spread;
--- /dev/null
+++ b/src/spread/operation.rs
@@ -0,0 +1,85 @@
+//! What operators have asked for and what it waits for.
+
+use super::api;
+use super::root;
+use super::survey;
+use crate::document;
+use crate::operator_api;
+use crate::plan;
+use std::sync;
+
+/// The pause after a failed call to the platform.
+const RETRY_MS: u64 = 200;
+
+/// An operator's request.
+#[derive(Debug)]
+pub(super) struct Operation {
+    pub(super) ticket: u64,
+    pub(super) deadline_ms: u64,
+    pub(super) request: Option<u64>,
+    pub(super) retry_at_ms: u64,
+    pub(super) stage: Stage,
+}
+
+impl Operation {
+    /// Puts off its next call to the platform.
+    pub(super) fn pause(&mut self, now_ms: u64) {
+        self.retry_at_ms = now_ms + RETRY_MS;
+    }
+
+    /// Whether the next call to the platform may be made.
+    pub(super) fn may_call(&self, now_ms: u64) -> bool {
+        self.request.is_none() && now_ms >= self.retry_at_ms
+    }
+}
+
+/// A declaration.
+#[derive(Clone, Debug)]
+pub(super) struct Declaration {
+    pub(super) document: sync::Arc<document::Document>,
+    pub(super) warnings: Vec<operator_api::Finding>,
+}
+
+/// How far an operation has come.
+#[derive(Clone, Debug)]
+pub(super) enum Stage {
+    /// Reads the root, which gives the base.
+    DeclareRoot(Declaration),
+    /// Waits until the base is in force here.
+    DeclareBase(Declaration, Option<api::Version>),
+    /// Stores the document.
+    DeclarePut(Declaration, operator_api::Plan),
+    /// Reads the root, which settles whether the plan is committed.
+    ConfirmRoot(plan::PlanId),
+    /// Reads the plan's document; the root may be swapped at this store revision.
+    ConfirmDocument(plan::PlanId, Option<root::Root>, u64),
+    /// Swaps the root.
+    ConfirmPut(plan::PlanId, root::Root, u64),
+    /// Waits until the revision is in force everywhere.
+    Collect(api::Version, survey::Survey),
+}
+
+impl Stage {
+    /// The call to the platform that the stage needs.
+    pub(super) fn call(&self) -> Option<api::PlatformCall> {
+        match self {
+            Stage::DeclareRoot(_) | Stage::ConfirmRoot(_) => {
+                Some(api::PlatformCall::Get(api::Key::Root))
+            }
+            Stage::DeclareBase(..) | Stage::Collect(..) => None,
+            Stage::DeclarePut(declaration, _) => Some(api::PlatformCall::Put {
+                key: api::Key::Document(declaration.document.hash()),
+                expected: 0,
+                value: declaration.document.to_value(),
+            }),
+            Stage::ConfirmDocument(plan, ..) => {
+                Some(api::PlatformCall::Get(api::Key::Document(plan.document)))
+            }
+            Stage::ConfirmPut(_, root, expected) => Some(api::PlatformCall::Put {
+                key: api::Key::Root,
+                expected: *expected,
+                value: root.to_value()?,
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/src/spread/peers.rs
@@ -0,0 +1,169 @@
+//! The other instances, as far as the spread of settings has to know them.
+
+use super::api;
+use crate::ids;
+
+/// How long an instance that was heard of counts without the gossip's word on it, and how long a starter
+/// is named to others. Longer than gossip takes to reach all members.
+const HEARD_MS: u64 = 20_000;
+
+/// The most bytes of an answer that starters may take.
+const STARTERS_MAX_BYTES: usize = 700;
+
+/// Bytes of a starter besides its name: a length and a boot.
+const STARTER_OVERHEAD_BYTES: usize = 12;
+
+/// One other instance.
+#[derive(Clone, Debug)]
+pub(super) struct Peer {
+    pub(super) instance: ids::InstanceName,
+    /// Its newest boot, if it was ever heard of.
+    pub(super) boot: Option<ids::BootId>,
+    pub(super) region: Option<ids::RegionName>,
+    pub(super) state: Option<api::MemberState>,
+    pub(super) listed: bool,
+    heard_until_ms: u64,
+    starting_until_ms: u64,
+}
+
+impl Peer {
+    fn new(instance: ids::InstanceName) -> Self {
+        Self {
+            instance,
+            boot: None,
+            region: None,
+            state: None,
+            listed: false,
+            heard_until_ms: 0,
+            starting_until_ms: 0,
+        }
+    }
+
+    pub(super) fn is_live(&self) -> bool {
+        matches!(self.state, Some(api::MemberState::Alive | api::MemberState::Suspect))
+    }
+}
+
+/// All other instances, sorted by name.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Peers {
+    peers: Vec<Peer>,
+    list_known: bool,
+}
+
+impl Peers {
+    pub(super) fn all(&self) -> &[Peer] {
+        &self.peers
+    }
+
+    pub(super) fn list_known(&self) -> bool {
+        self.list_known
+    }
+
+    pub(super) fn member(&mut self, member: api::Member) {
+        let peer = self.entry(&member.instance);
+        if peer.boot.is_some_and(|boot| boot > member.boot) {
+            return;
+        }
+        peer.boot = Some(member.boot);
+        peer.region = Some(member.region);
+        peer.state = Some(member.state);
+    }
+
+    pub(super) fn listed(
+        &mut self,
+        mut names: Vec<ids::InstanceName>,
+        me: &ids::InstanceName,
+        now_ms: u64,
+    ) {
+        names.sort();
+        self.list_known = true;
+        for peer in &mut self.peers {
+            peer.listed = false;
+        }
+        for name in names {
+            if name != *me {
+                self.entry(&name).listed = true;
+            }
+        }
+        self.peers
+            .retain(|peer| peer.listed || peer.state.is_some() || peer.heard_until_ms > now_ms);
+    }
+
+    /// Notes that gossip knows a member no longer.
+    pub(super) fn forgotten(&mut self, instance: &ids::InstanceName) {
+        let peer = self.entry(instance);
+        peer.state = None;
+        peer.boot = None;
+        self.peers.retain(|peer| peer.listed || peer.instance != *instance);
+    }
+
+    /// Notes that this boot of an instance exists.
+    pub(super) fn heard(&mut self, instance: &ids::InstanceName, boot: ids::BootId, now_ms: u64) {
+        let peer = self.entry(instance);
+        if peer.boot > Some(boot) {
+            return;
+        }
+        if peer.boot < Some(boot) {
+            peer.boot = Some(boot);
+            peer.state = None;
+        }
+        peer.heard_until_ms = now_ms + HEARD_MS;
+    }
+
+    /// Notes that an instance has asked while starting or in doubt.
+    pub(super) fn starting(
+        &mut self,
+        instance: &ids::InstanceName,
+        boot: ids::BootId,
+        now_ms: u64,
+    ) {
+        self.heard(instance, boot, now_ms);
+        let peer = self.entry(instance);
+        if peer.boot == Some(boot) {
+            peer.starting_until_ms = now_ms + HEARD_MS;
+        }
+    }
+
+    /// The instances that start, and whether there are more than fit into an answer.
+    pub(super) fn starters(&self, now_ms: u64) -> (Vec<api::Starter>, bool) {
+        let mut starters = Vec::new();
+        let mut bytes = 0;
+        for peer in &self.peers {
+            let Some(boot) = peer.boot else { continue };
+            if peer.starting_until_ms <= now_ms {
+                continue;
+            }
+            bytes += peer.instance.as_str().len() + STARTER_OVERHEAD_BYTES;
+            if bytes > STARTERS_MAX_BYTES {
+                return (starters, true);
+            }
+            starters.push(api::Starter { instance: peer.instance.clone(), boot });
+        }
+        (starters, false)
+    }
+
+    /// The instances that may serve: an unreachable one until the platform's list drops it.
+    pub(super) fn may_serve(&self, now_ms: u64) -> impl Iterator<Item = &Peer> {
+        self.peers.iter().filter(move |peer| match peer.state {
+            Some(api::MemberState::Alive | api::MemberState::Suspect) => true,
+            Some(api::MemberState::Leaving) => true,
+            Some(api::MemberState::Unreachable) => {
+                peer.listed || !self.list_known || peer.heard_until_ms > now_ms
+            }
+            Some(api::MemberState::Left) => false,
+            None => peer.listed || peer.heard_until_ms > now_ms,
+        })
+    }
+
+    fn entry(&mut self, instance: &ids::InstanceName) -> &mut Peer {
+        let index = match self.peers.binary_search_by(|peer| peer.instance.cmp(instance)) {
+            Ok(index) => index,
+            Err(index) => {
+                self.peers.insert(index, Peer::new(instance.clone()));
+                index
+            }
+        };
+        &mut self.peers[index]
+    }
+}
--- /dev/null
+++ b/src/spread/watch.rs
@@ -0,0 +1,73 @@
+//! The watch on the root, which a few instances of each region keep.
+
+use super::api;
+use super::root;
+use super::{Purpose, Spread};
+use crate::peers;
+
+/// How many instances of a region watch the root.
+const WATCHERS: usize = 2;
+
+/// How long one watch waits.
+const WATCH_WAIT_MS: u64 = 10_000;
+
+/// The pause after a failed watch.
+const WATCH_PAUSE_MS: u64 = 1_000;
+
+/// What the rendezvous weights are drawn for.
+const WATCH_KEY: &str = "root-watch";
+
+impl Spread {
+    /// Whether this instance is to watch the root.
+    pub fn is_watcher(&self) -> bool {
+        let own = peers::rendezvous_weight(self.config.instance.as_str(), WATCH_KEY);
+        let mut heavier = 0;
+        for peer in self.peers.all() {
+            if !peer.is_live() || peer.region.as_ref() != Some(&self.config.region) {
+                continue;
+            }
+            if peers::rendezvous_weight(peer.instance.as_str(), WATCH_KEY) > own {
+                heavier += 1;
+            }
+        }
+        heavier < WATCHERS
+    }
+
+    pub(super) fn watch(&mut self) {
+        let watching = self.calls.iter().any(|call| call.purpose == Purpose::Watch);
+        if watching || self.now_ms < self.watch_at_ms || !self.is_watcher() {
+            return;
+        }
+        let call = api::PlatformCall::Watch { after: self.store_revision, wait_ms: WATCH_WAIT_MS };
+        self.call(call, Purpose::Watch);
+    }
+
+    pub(super) fn watched(&mut self, reply: &api::PlatformReply) {
+        if *reply == api::PlatformReply::Unchanged {
+            return;
+        }
+        if self.read_root(reply).is_none() {
+            self.watch_at_ms = self.now_ms + WATCH_PAUSE_MS;
+        }
+    }
+
+    /// Takes in the platform's answer on the root; `None` if it is of no use.
+    pub(super) fn read_root(
+        &mut self,
+        reply: &api::PlatformReply,
+    ) -> Option<(Option<root::Root>, u64)> {
+        match reply {
+            api::PlatformReply::Found { value, store_revision } => {
+                let root = root::Root::parse(value)?;
+                self.store_revision = self.store_revision.max(*store_revision);
+                self.learn(root.version(), None);
+                Some((Some(root), *store_revision))
+            }
+            api::PlatformReply::Absent => Some((None, 0)),
+            api::PlatformReply::Unchanged
+            | api::PlatformReply::Written { .. }
+            | api::PlatformReply::Mismatch
+            | api::PlatformReply::Failed => None,
+        }
+    }
+}
