Spread: fault table, double faults, random schedules

A world of 7 instances over 3 regions, driven by one seeded queue, checks at every step: one document under a revision, revisions never go down in a boot, no instance serves an older revision than one that was accepted, nothing that was refused is committed. The table showed that an instance that was killed kept a change pending for 20 s, because its last words counted; they end when gossip calls it unreachable.

--- a/src/spread/operators.rs
+++ b/src/spread/operators.rs
@@ -160,12 +160,8 @@
         let in_force = root.as_ref().map_or(ids::Revision(0), |root| root.revision);
         match root::judge(root.as_ref(), plan) {
             root::Verdict::Committed(version) => Some(self.collect(version)),
-            // A root that went back must not have a revision used twice.
-            root::Verdict::Possible if in_force < self.revision() => {
-                let in_force = self.revision();
-                self.confirmed(operation, ConfirmReply::Conflict { in_force });
-                None
-            }
+            // The answer is late, or the root went back: a revision must not be used twice.
+            root::Verdict::Possible if in_force < self.revision() => None,
             root::Verdict::Possible => Some(Stage::ConfirmDocument(plan, root, store_revision)),
             root::Verdict::Conflict => {
                 self.confirmed(operation, ConfirmReply::Conflict { in_force });
--- a/src/spread/peers.rs
+++ b/src/spread/peers.rs
@@ -65,6 +65,9 @@
         if peer.boot.is_some_and(|boot| boot > member.boot) {
             return;
         }
+        if member.state == api::MemberState::Unreachable {
+            peer.heard_until_ms = 0;
+        }
         peer.boot = Some(member.boot);
         peer.region = Some(member.region);
         peer.state = Some(member.state);
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod layout;
 pub mod platform;
 pub mod searcher;
+pub mod spread_world;
--- /dev/null
+++ b/standin/src/spread_world.rs
@@ -0,0 +1,405 @@
+//! Many spread machines driven by one seeded queue of messages, without sockets or clock.
+//!
+//! Membership is played: every instance learns of another's state after a delay. The promise is
+//! checked at every step; [`World::violations`] holds what was broken.
+
+mod membership;
+mod outputs;
+mod store;
+
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand::rngs;
+use std::collections;
+use std::sync;
+use tarragondoor::document;
+use tarragondoor::ids;
+use tarragondoor::operator_api;
+use tarragondoor::plan;
+use tarragondoor::spread;
+use tarragondoor::spread::api;
+
+/// The time between two ticks of a machine.
+const TICK_MS: u64 = 100;
+
+/// The time between two rounds of the played membership, and how long its word takes.
+const MEMBERSHIP_MS: u64 = 500;
+
+/// How long an instance is silent before others see it as unreachable.
+const UNREACHABLE_MS: u64 = 3_000;
+
+/// How far the platform's list lags.
+const LIST_LAG_MS: u64 = 2_000;
+
+/// How long a failing call to the platform takes.
+const FAILURE_MS: u64 = 300;
+
+/// Bytes of a datagram besides the message: sender, boot, seal.
+const DATAGRAM_OVERHEAD_BYTES: u64 = 60;
+
+/// The faults that are on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Faults {
+    /// The platform does not carry out calls.
+    pub platform_down: bool,
+    /// The platform carries out calls and its answers are lost.
+    pub replies_lost: bool,
+    /// How much longer the platform takes.
+    pub platform_slow_ms: u64,
+    /// A region that has no contact with the others.
+    pub parted_region: Option<usize>,
+    /// How many datagrams of 100 are lost.
+    pub loss_percent: u8,
+}
+
+/// What an operator was told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// The answer to a declaration.
+    Declared(Result<operator_api::Plan, api::DeclareError>),
+    /// The answer to a confirmation.
+    Confirmed(plan::PlanId, operator_api::ConfirmReply),
+}
+
+/// What was sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Datagrams.
+    pub datagrams: u64,
+    /// Their bytes.
+    pub datagram_bytes: u64,
+    /// Documents asked for over links.
+    pub fetches: u64,
+    /// Bytes of the answers.
+    pub fetch_bytes: u64,
+    /// Calls to the platform.
+    pub platform_calls: u64,
+}
+
+#[derive(Debug)]
+struct Node {
+    name: ids::InstanceName,
+    region: usize,
+    boot: ids::BootId,
+    spread: Option<spread::Spread>,
+    left: bool,
+    paused_until_ms: u64,
+    applied: ids::Revision,
+    seen: Vec<Seen>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    contact_ms: u64,
+    told: Option<(ids::BootId, api::MemberState)>,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Tick,
+    Input(api::Input),
+    PlatformCall { request: u64, call: api::PlatformCall },
+    FetchCall { from: usize, request: u64, call: api::FetchCall },
+    Membership,
+    List(Vec<ids::InstanceName>),
+}
+
+#[derive(Clone, Debug)]
+struct Scheduled {
+    node: usize,
+    boot: ids::BootId,
+    event: Event,
+}
+
+/// The world.
+#[derive(Debug)]
+pub struct World {
+    /// The faults that are on.
+    pub faults: Faults,
+    /// What operators were told, in order: the ticket and the answer.
+    pub told: Vec<(u64, Told)>,
+    /// The promises that were broken.
+    pub violations: Vec<String>,
+    /// What was sent.
+    pub traffic: Traffic,
+    rng: rngs::StdRng,
+    now_ms: u64,
+    sequence: u64,
+    queue: collections::BTreeMap<(u64, u64), Scheduled>,
+    nodes: Vec<Node>,
+    store: store::Store,
+    documents: Vec<api::Version>,
+    accepted: ids::Revision,
+    fetches: Vec<(usize, u64, usize, u64)>,
+    confirms: Vec<(u64, plan::PlanId)>,
+}
+
+impl World {
+    /// A world of `nodes` instances over `regions` regions, all starting.
+    pub fn new(seed: u64, nodes: usize, regions: usize) -> Self {
+        let mut world = Self {
+            faults: Faults::default(),
+            told: Vec::new(),
+            violations: Vec::new(),
+            traffic: Traffic::default(),
+            rng: rngs::StdRng::seed_from_u64(seed),
+            now_ms: 1_000,
+            sequence: 0,
+            queue: collections::BTreeMap::new(),
+            nodes: Vec::new(),
+            store: store::Store::default(),
+            documents: Vec::new(),
+            accepted: ids::Revision(0),
+            fetches: Vec::new(),
+            confirms: Vec::new(),
+        };
+        for index in 0..nodes {
+            let name = format!("i{index}").parse().expect("a name");
+            world.nodes.push(Node {
+                name,
+                region: index % regions,
+                boot: ids::BootId(0),
+                spread: None,
+                left: false,
+                paused_until_ms: 0,
+                applied: ids::Revision(0),
+                seen: vec![Seen::default(); nodes],
+            });
+        }
+        for index in 0..nodes {
+            world.start(index);
+        }
+        world.schedule(0, 0, ids::BootId(0), Event::Membership);
+        world
+    }
+
+    /// The time.
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    /// How many instances there are.
+    pub fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.nodes.is_empty()
+    }
+
+    /// Whether an instance runs and is not paused.
+    pub fn is_up(&self, node: usize) -> bool {
+        self.nodes[node].spread.is_some() && self.nodes[node].paused_until_ms <= self.now_ms
+    }
+
+    /// Whether an instance runs, paused or not.
+    pub fn is_running(&self, node: usize) -> bool {
+        self.nodes[node].spread.is_some()
+    }
+
+    /// Whether an instance would serve a request now.
+    pub fn serves(&self, node: usize) -> bool {
+        let up = self.is_up(node);
+        up && self.nodes[node].spread.as_ref().is_some_and(|spread| spread.may_serve(self.now_ms))
+    }
+
+    /// The revision in force at an instance; 0 if it does not run.
+    pub fn revision(&self, node: usize) -> ids::Revision {
+        self.nodes[node].spread.as_ref().map_or(ids::Revision(0), spread::Spread::revision)
+    }
+
+    /// The plans that were committed, in order.
+    pub fn committed(&self) -> &[spread::root::Committed] {
+        &self.store.committed
+    }
+
+    /// Starts an instance, or starts it again.
+    pub fn start(&mut self, node: usize) {
+        let boot = ids::BootId(self.now_ms * 1_000 + node as u64);
+        let config = spread::Config {
+            instance: self.nodes[node].name.clone(),
+            region: region(self.nodes[node].region),
+            others_min: 0,
+            rng_seed: self.rng.random(),
+        };
+        let count = self.nodes.len();
+        let place = &mut self.nodes[node];
+        place.boot = boot;
+        place.left = false;
+        place.paused_until_ms = 0;
+        place.applied = ids::Revision(0);
+        place.seen = vec![Seen::default(); count];
+        place.spread = Some(spread::Spread::new(self.now_ms, config));
+        let offset = self.rng.random_range(0..TICK_MS);
+        self.schedule(offset, node, boot, Event::Tick);
+    }
+
+    /// Ends an instance at once.
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].spread = None;
+    }
+
+    /// Ends an instance's graceful shutdown.
+    pub fn leave(&mut self, node: usize) {
+        self.nodes[node].spread = None;
+        self.nodes[node].left = true;
+    }
+
+    /// Freezes an instance for a time.
+    pub fn pause(&mut self, node: usize, pause_ms: u64) {
+        self.nodes[node].paused_until_ms = self.now_ms + pause_ms;
+    }
+
+    /// Has an operator declare settings at an instance.
+    pub fn declare(&mut self, node: usize, ticket: u64, document: document::Document) {
+        let document = sync::Arc::new(document);
+        self.input(node, api::Input::Declare { ticket, document, warnings: Vec::new() });
+    }
+
+    /// Has an operator confirm a plan at an instance.
+    pub fn confirm(&mut self, node: usize, ticket: u64, plan: plan::PlanId, wait_ms: u64) {
+        self.confirms.push((ticket, plan));
+        self.input(node, api::Input::Confirm { ticket, plan, wait_ms });
+    }
+
+    /// The last answer to a ticket.
+    pub fn answer(&self, ticket: u64) -> Option<&Told> {
+        self.told.iter().rev().find(|(known, _)| *known == ticket).map(|(_, told)| told)
+    }
+
+    /// Lets time pass.
+    pub fn run_for(&mut self, duration_ms: u64) {
+        let until_ms = self.now_ms + duration_ms;
+        self.run_until(until_ms, |_| false);
+    }
+
+    /// Lets time pass until a condition holds; false if it does not hold in time.
+    pub fn run_until(&mut self, until_ms: u64, done: impl Fn(&World) -> bool) -> bool {
+        while !done(self) {
+            let Some(entry) = self.queue.first_entry() else { break };
+            let (at_ms, _) = *entry.key();
+            if at_ms > until_ms {
+                break;
+            }
+            let scheduled = entry.remove();
+            self.now_ms = at_ms;
+            self.happen(scheduled);
+        }
+        if done(self) {
+            return true;
+        }
+        self.now_ms = until_ms;
+        false
+    }
+
+    fn happen(&mut self, scheduled: Scheduled) {
+        let Scheduled { node, boot, event } = scheduled;
+        match &event {
+            Event::Membership => return self.membership(),
+            Event::List(names) => {
+                let names = names.clone();
+                for node in 0..self.nodes.len() {
+                    self.input(node, api::Input::Listed(names.clone()));
+                }
+                return;
+            }
+            Event::PlatformCall { request, call } => {
+                return self.platform(node, boot, *request, call);
+            }
+            Event::Tick | Event::Input(_) | Event::FetchCall { .. } => {}
+        }
+        if self.nodes[node].spread.is_none() || self.nodes[node].boot != boot {
+            return;
+        }
+        let paused_until_ms = self.nodes[node].paused_until_ms;
+        if paused_until_ms > self.now_ms {
+            // What arrives at a frozen process waits for it.
+            self.schedule(paused_until_ms - self.now_ms, node, boot, event);
+            return;
+        }
+        match event {
+            Event::Tick => {
+                self.schedule(TICK_MS, node, boot, Event::Tick);
+                self.input(node, api::Input::Tick);
+            }
+            Event::Input(input) => self.input(node, input),
+            Event::FetchCall { from, request, call } => {
+                let id = self.sequence;
+                self.sequence += 1;
+                self.fetches.push((node, id, from, request));
+                self.input(node, api::Input::FetchAsked { request: id, call });
+            }
+            Event::Membership | Event::List(_) | Event::PlatformCall { .. } => {}
+        }
+    }
+
+    fn input(&mut self, node: usize, input: api::Input) {
+        self.check(node);
+        if !self.is_up(node) {
+            return;
+        }
+        let now_ms = self.now_ms;
+        let Some(spread) = &mut self.nodes[node].spread else { return };
+        let outputs = spread.step(now_ms, input);
+        for output in outputs {
+            self.output(node, output);
+        }
+        self.check(node);
+    }
+
+    fn check(&mut self, node: usize) {
+        if self.serves(node) && self.revision(node) < self.accepted {
+            let (revision, accepted) = (self.revision(node), self.accepted);
+            let name = &self.nodes[node].name;
+            let now_ms = self.now_ms;
+            self.violations.push(format!(
+                "{now_ms} ms: {name} serves with revision {revision} after {accepted} was accepted"
+            ));
+        }
+    }
+
+    /// What was said of plans and turned out wrong: to be called at the end.
+    pub fn false_refusals(&self) -> Vec<String> {
+        let mut wrong = Vec::new();
+        for (_, told) in &self.told {
+            let Told::Confirmed(plan, reply) = told else { continue };
+            let refused = matches!(
+                reply,
+                operator_api::ConfirmReply::Conflict { .. }
+                    | operator_api::ConfirmReply::UnknownPlan
+            );
+            if refused && self.store.committed.iter().any(|committed| committed.plan == *plan) {
+                wrong.push(format!("{plan} was refused and is committed"));
+            }
+        }
+        wrong
+    }
+
+    fn reachable(&self, from: usize, to: usize) -> bool {
+        let Some(parted) = self.faults.parted_region else { return true };
+        (self.nodes[from].region == parted) == (self.nodes[to].region == parted)
+    }
+
+    fn latency_ms(&mut self, from: usize, to: usize) -> u64 {
+        let jitter_ms = self.rng.random_range(0..2);
+        if self.nodes[from].region == self.nodes[to].region {
+            return 1 + jitter_ms;
+        }
+        20 + jitter_ms
+    }
+
+    fn find(&self, name: &ids::InstanceName) -> Option<usize> {
+        self.nodes.iter().position(|node| node.name == *name)
+    }
+
+    fn schedule(&mut self, delay_ms: u64, node: usize, boot: ids::BootId, event: Event) {
+        self.sequence += 1;
+        let key = (self.now_ms + delay_ms, self.sequence);
+        self.queue.insert(key, Scheduled { node, boot, event });
+    }
+}
+
+fn region(index: usize) -> ids::RegionName {
+    format!("r{index}").parse().expect("a name")
+}
--- /dev/null
+++ b/standin/src/spread_world/outputs.rs
@@ -0,0 +1,153 @@
+//! What becomes of a machine's outputs.
+
+use super::{DATAGRAM_OVERHEAD_BYTES, Event, FAILURE_MS, Told, World};
+use rand::RngExt as _;
+use tarragondoor::document;
+use tarragondoor::ids;
+use tarragondoor::operator_api;
+use tarragondoor::spread::api;
+
+impl World {
+    pub(super) fn output(&mut self, node: usize, output: api::Output) {
+        let boot = self.nodes[node].boot;
+        match output {
+            api::Output::Send { to, message } => self.send(node, &to, message),
+            api::Output::Fetch { request, to, call } => {
+                let Some(to) = self.find(&to) else { return };
+                self.traffic.fetches += 1;
+                if !self.reachable(node, to) {
+                    return;
+                }
+                let delay_ms = 2 * self.latency_ms(node, to);
+                let to_boot = self.nodes[to].boot;
+                let event = Event::FetchCall { from: node, request, call };
+                self.schedule(delay_ms, to, to_boot, event);
+            }
+            api::Output::FetchAnswer { request, reply } => self.fetch_answer(node, request, reply),
+            api::Output::Platform { request, call } => {
+                self.traffic.platform_calls += 1;
+                let delay_ms = self.rng.random_range(1..3) + self.faults.platform_slow_ms / 2;
+                self.schedule(delay_ms, node, boot, Event::PlatformCall { request, call });
+            }
+            api::Output::Apply { revision, document } => self.applied(node, revision, &document),
+            api::Output::Readiness { .. } => {}
+            api::Output::Declared { ticket, result } => {
+                self.told.push((ticket, Told::Declared(result)));
+            }
+            api::Output::Confirmed { ticket, reply } => self.confirmed(ticket, reply),
+            api::Output::Contradiction { known, said } => {
+                self.violations.push(format!("two documents: {known:?} and {said:?}"));
+            }
+        }
+    }
+
+    pub(super) fn send(&mut self, node: usize, to: &ids::InstanceName, message: api::Message) {
+        let bytes = postcard::to_stdvec(&message).map_or(0, |bytes| bytes.len() as u64);
+        self.traffic.datagrams += 1;
+        self.traffic.datagram_bytes += bytes + DATAGRAM_OVERHEAD_BYTES;
+        let Some(to) = self.find(to) else { return };
+        let lost = self.rng.random_range(0..100) < self.faults.loss_percent;
+        if lost || !self.reachable(node, to) {
+            return;
+        }
+        let from = self.nodes[node].name.clone();
+        let boot = self.nodes[node].boot;
+        let input = api::Input::Datagram { from, boot, message };
+        let delay_ms = self.latency_ms(node, to);
+        let to_boot = self.nodes[to].boot;
+        self.schedule(delay_ms, to, to_boot, Event::Input(input));
+    }
+
+    pub(super) fn fetch_answer(&mut self, node: usize, id: u64, reply: api::FetchReply) {
+        let Some(index) = self.fetches.iter().position(|fetch| (fetch.0, fetch.1) == (node, id))
+        else {
+            return;
+        };
+        let (_, _, to, request) = self.fetches.swap_remove(index);
+        self.traffic.fetch_bytes += postcard::to_stdvec(&reply).map_or(0, |b| b.len() as u64);
+        if !self.reachable(node, to) {
+            return;
+        }
+        let input = api::Input::Fetched { request, reply: Some(reply) };
+        let delay_ms = self.latency_ms(node, to);
+        let boot = self.nodes[to].boot;
+        self.schedule(delay_ms, to, boot, Event::Input(input));
+    }
+
+    pub(super) fn platform(
+        &mut self,
+        node: usize,
+        boot: ids::BootId,
+        request: u64,
+        call: &api::PlatformCall,
+    ) {
+        if self.faults.platform_down {
+            let failed = api::Input::Platform { request, reply: api::PlatformReply::Failed };
+            self.schedule(FAILURE_MS, node, boot, Event::Input(failed));
+            return;
+        }
+        if let Some(reply) = self.store.call(call, node, boot, request, self.now_ms) {
+            self.platform_reply(node, boot, request, reply);
+        }
+        self.end_watches();
+    }
+
+    pub(super) fn end_watches(&mut self) {
+        for (watch, reply) in self.store.ended(self.now_ms) {
+            self.platform_reply(watch.node, watch.boot, watch.request, reply);
+        }
+    }
+
+    pub(super) fn platform_reply(
+        &mut self,
+        node: usize,
+        boot: ids::BootId,
+        request: u64,
+        reply: api::PlatformReply,
+    ) {
+        let lost = self.faults.replies_lost || self.faults.platform_down;
+        let (reply, extra_ms) = match lost {
+            true => (api::PlatformReply::Failed, FAILURE_MS),
+            false => (reply, self.faults.platform_slow_ms / 2),
+        };
+        let delay_ms = self.rng.random_range(1..3) + extra_ms;
+        self.schedule(delay_ms, node, boot, Event::Input(api::Input::Platform { request, reply }));
+    }
+
+    pub(super) fn applied(
+        &mut self,
+        node: usize,
+        revision: ids::Revision,
+        document: &document::Document,
+    ) {
+        let version = api::Version { revision, document: document.hash() };
+        match self.documents.binary_search_by_key(&revision, |known| known.revision) {
+            Ok(index) if self.documents[index] != version => {
+                self.violations.push(format!("two documents under revision {revision}"));
+            }
+            Ok(_) => {}
+            Err(index) => self.documents.insert(index, version),
+        }
+        if revision <= self.nodes[node].applied {
+            let name = &self.nodes[node].name;
+            self.violations
+                .push(format!("{name} went from {} to {revision}", self.nodes[node].applied));
+        }
+        self.nodes[node].applied = revision;
+    }
+
+    pub(super) fn confirmed(&mut self, ticket: u64, reply: operator_api::ConfirmReply) {
+        let plan = self.confirms.iter().find(|(known, _)| *known == ticket).map(|(_, plan)| *plan);
+        let Some(plan) = plan else { return };
+        if let operator_api::ConfirmReply::Accepted { revision } = reply {
+            if !self.store.committed.iter().any(|committed| committed.plan == plan) {
+                self.violations.push(format!("{plan} was accepted and never committed"));
+            }
+            self.accepted = self.accepted.max(revision);
+            for node in 0..self.nodes.len() {
+                self.check(node);
+            }
+        }
+        self.told.push((ticket, Told::Confirmed(plan, reply)));
+    }
+}
