--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -155,7 +155,7 @@
                 queued: load.queued,
                 service_us: load.service_time_us,
             };
-            self.chooser.reported(index, report);
+            self.chooser.reported(now_us, index, report);
         }
         match reply.outcome {
             peer_api::ShardOutcome::Answered { .. } => {
