Settings spread through the running instances; operators declare and confirm

Cause: settings came from a file at the start. The duty runs the state machine of the spread: platform, gossip notes and datagrams, documents over links. Instances refuse work until they know the newest settings.

--- a/src/caller_api.rs
+++ b/src/caller_api.rs
@@ -196,6 +196,8 @@
     NotReady,
     /// The instance is stopping; use another address.
     Stopping,
+    /// The platform does not answer; nothing has changed.
+    PlatformUnreachable,
     /// The operators' token is missing or wrong.
     Unauthorized,
     /// Something that should not happen; the logs tell more.
@@ -216,6 +218,7 @@
             | ErrorCode::NoSearcher
             | ErrorCode::HomeUnreachable
             | ErrorCode::NotReady
+            | ErrorCode::PlatformUnreachable
             | ErrorCode::Stopping => 503,
             ErrorCode::DeadlinePast => 504,
         }
--- a/src/config.rs
+++ b/src/config.rs
@@ -3,6 +3,7 @@
 //! Written in JSON with comments, read once. Secrets come from the environment.
 
 use crate::ids;
+use crate::log;
 use crate::peers;
 use crate::policy;
 use crate::seal;
@@ -79,18 +80,7 @@
     pub policy: policy::Policy,
     /// How logs are written.
     #[serde(default)]
-    pub log: LogFormat,
-}
-
-/// How logs are written.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum LogFormat {
-    /// Lines for a person.
-    #[default]
-    Text,
-    /// One JSON object a line.
-    Json,
+    pub log: log::Format,
 }
 
 /// What an instance must not show.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use crate::config;
 use crate::instance;
-use crate::settings;
+use crate::log;
 use error_stack::ResultExt as _;
 use std::ffi;
 use std::path;
@@ -22,6 +22,9 @@
   TARRAGONDOOR_TOKEN   The operators' token, at least 16 bytes
   RUST_LOG             What to log, such as `info` or `tarragondoor=debug`";
 
+/// What is logged unless the environment says otherwise.
+const LOG_FILTER: &str = "info,volo_http=warn,volo=warn";
+
 /// Why the daemon ended.
 #[derive(Debug, thiserror::Error)]
 pub enum DaemonError {
@@ -37,7 +40,7 @@
 }
 
 enum Asked {
-    Run(path::PathBuf, Option<path::PathBuf>),
+    Run(path::PathBuf),
     Help,
     Version,
 }
@@ -50,7 +53,7 @@
 pub fn main(
     arguments: impl IntoIterator<Item = ffi::OsString>,
 ) -> Result<(), error_stack::Report<DaemonError>> {
-    let (config, settings) = match parse(arguments).change_context(DaemonError::Usage)? {
+    let config = match parse(arguments).change_context(DaemonError::Usage)? {
         Asked::Help => {
             println!("{HELP}");
             return Ok(());
@@ -59,23 +62,15 @@
             println!("tarragondoord {}", env!("CARGO_PKG_VERSION"));
             return Ok(());
         }
-        Asked::Run(config, settings) => (config, settings),
+        Asked::Run(config) => config,
     };
     let text = std::fs::read_to_string(&config)
         .change_context(DaemonError::Config)
         .attach_with(|| config.display().to_string())?;
     let config = config::parse(&text).change_context(DaemonError::Config)?;
+    log::init(config.log, LOG_FILTER).change_context(DaemonError::Config)?;
     let secrets =
         config::secrets(|name| std::env::var(name).ok()).change_context(DaemonError::Config)?;
-    let settings = match settings {
-        None => settings::Settings::default(),
-        Some(path) => {
-            let text = std::fs::read_to_string(path).change_context(DaemonError::Config)?;
-            let (settings, _) = crate::check::parse(&text)
-                .map_err(|_| error_stack::Report::new(DaemonError::Config))?;
-            settings
-        }
-    };
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(usize::from(config.worker_threads))
         .enable_all()
@@ -83,7 +78,7 @@
         .change_context(DaemonError::Run)?;
     runtime.block_on(async {
         let mut instance =
-            instance::start(config, secrets, settings).await.change_context(DaemonError::Run)?;
+            instance::start(config, secrets).await.change_context(DaemonError::Run)?;
         instance.serve().await.change_context(DaemonError::Run)
     })
 }
@@ -92,18 +87,16 @@
     use lexopt::prelude::{Long, Short};
     let mut parser = lexopt::Parser::from_args(arguments);
     let mut config = None;
-    let mut settings = None;
     while let Some(argument) = parser.next()? {
         match argument {
             Long("config") => config = Some(path::PathBuf::from(parser.value()?)),
-            Long("settings") => settings = Some(path::PathBuf::from(parser.value()?)),
             Short('h') | Long("help") => return Ok(Asked::Help),
             Short('V') | Long("version") => return Ok(Asked::Version),
             other => return Err(other.unexpected()),
         }
     }
     match config {
-        Some(config) => Ok(Asked::Run(config, settings)),
+        Some(config) => Ok(Asked::Run(config)),
         None => Err(lexopt::Error::Custom("--config is missing".into())),
     }
 }
--- a/src/duty.rs
+++ b/src/duty.rs
@@ -33,8 +33,10 @@
         match platform.instances().await {
             Ok(list) => {
                 node.world.directory.store(sync::Arc::new(peers::Directory::new(&list)));
-                if node.gossip.set_listed(listed_peers(&list)).is_err() {
-                    tracing::debug!("membership is busy; it gets the next list");
+                let listed = listed_peers(&list);
+                let names = listed.iter().map(|(name, _)| name.clone()).collect();
+                if node.gossip.set_listed(listed).is_err() || node.spreader.listed(names).is_err() {
+                    tracing::debug!("a duty is busy; it gets the next list");
                 }
             }
             Err(error) => tracing::debug!(%error, "list not read"),
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -16,6 +16,7 @@
 use crate::query;
 use crate::settings;
 use crate::snapshot;
+use crate::spreader;
 use crate::traffic;
 use compact_str::CompactString;
 use std::sync;
@@ -51,6 +52,8 @@
     pub home: home::Home,
     /// The searchers owned.
     pub owner: sync::Arc<owner::Owner>,
+    /// The settings' spread.
+    pub spreader: spreader::Handle,
     /// The traffic by service.
     pub traffics: traffic::Traffics,
     /// The policy.
@@ -80,6 +83,19 @@
         self.started.elapsed().as_millis() as u64
     }
 
+    /// Whether requests may be served now.
+    ///
+    /// # Errors
+    ///
+    /// When the settings in force may be out of date.
+    pub fn may_serve(&self) -> Result<(), caller_api::ErrorReply> {
+        if self.gate.is_ready(self.now_ms()) {
+            return Ok(());
+        }
+        let message = "the instance does not know the newest settings";
+        Err(refuse(caller_api::ErrorCode::NotReady, message))
+    }
+
     /// Whether no request is open here, neither a caller's nor another instance's.
     pub fn is_idle(&self) -> bool {
         self.gate.is_idle() && self.home.open_count() == 0 && self.owner.is_idle()
--- a/src/events.rs
+++ b/src/events.rs
@@ -24,6 +24,18 @@
     DatagramDropped = 205,
     /// The gossip thread stopped.
     GossipStopped = 206,
+    /// The instance may serve: it knows the newest settings.
+    Ready = 300,
+    /// The instance may not serve: it may have missed a change of the settings.
+    NotReady = 301,
+    /// Settings came into force.
+    SettingsInForce = 302,
+    /// Another document was named for a known revision.
+    SettingsContradiction = 303,
+    /// A call to the platform failed.
+    PlatformFailed = 304,
+    /// The duty of the settings' spread could not start.
+    SpreadStopped = 305,
 }
 
 impl Event {
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -7,6 +7,8 @@
 #[derive(Debug, Default)]
 pub struct Gate {
     stopping: atomic::AtomicBool,
+    ready: atomic::AtomicBool,
+    told_ms: atomic::AtomicU64,
     open: sync::Arc<atomic::AtomicUsize>,
 }
 
@@ -20,7 +22,23 @@
     }
 }
 
+/// How old the word of the settings' duty may be: a process that was paused for longer may have missed
+/// a revision.
+pub const READY_AGE_MAX_MS: u64 = 3_000;
+
 impl Gate {
+    /// Notes whether the settings in force may be trusted.
+    pub fn set_ready(&self, now_ms: u64, ready: bool) {
+        self.told_ms.store(now_ms, atomic::Ordering::Release);
+        self.ready.store(ready, atomic::Ordering::Release);
+    }
+
+    /// Whether the settings in force may be trusted now.
+    pub fn is_ready(&self, now_ms: u64) -> bool {
+        let age_ms = now_ms.saturating_sub(self.told_ms.load(atomic::Ordering::Acquire));
+        self.ready.load(atomic::Ordering::Acquire) && age_ms <= READY_AGE_MAX_MS
+    }
+
     /// Counts a request in.
     pub fn enter(&self) -> Open {
         self.open.fetch_add(1, atomic::Ordering::AcqRel);
--- a/src/http.rs
+++ b/src/http.rs
@@ -3,6 +3,7 @@
 use crate::caller_api;
 use crate::entry;
 use crate::ids;
+use crate::operators;
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use std::net;
@@ -28,17 +29,33 @@
 
 /// The routes.
 pub fn router(app: sync::Arc<App>) -> route::Router {
-    route::Router::new()
+    let router = route::Router::new()
         .route("/v1/addresses", route::get(addresses))
         .route("/v1/search", route::post(search))
         .route("/v1/run", route::post(run))
-        .layer(utils::Extension(app))
+        .route("/v1/health", route::get(health));
+    operators::routes(router).layer(utils::Extension(app))
+}
+
+/// 200 if the instance serves and will go on serving, else why not.
+async fn health(utils::Extension(app): Shared) -> response::Response {
+    let verdict = match app.node.gate.is_stopping() {
+        true => Err(entry::refuse(caller_api::ErrorCode::Stopping, "the instance is stopping")),
+        false => app.node.may_serve(),
+    };
+    match verdict {
+        Ok(()) => json(http::StatusCode::OK, &app.node.spreader.known().in_force),
+        Err(error) => refused(&error),
+    }
 }
 
 async fn search(utils::Extension(app): Shared, request: request::Request) -> response::Response {
     let traceparent = traceparent(&request);
     let _open = app.node.gate.enter();
-    let call = match body(request).await {
+    if let Err(error) = app.node.may_serve() {
+        return refused(&error);
+    }
+    let call = match body(request, caller_api::BODY_MAX_BYTES).await {
         Ok(call) => call,
         Err(error) => return refused(&error),
     };
@@ -51,7 +68,10 @@
 async fn run(utils::Extension(app): Shared, request: request::Request) -> response::Response {
     let traceparent = traceparent(&request);
     let _open = app.node.gate.enter();
-    let call = match body(request).await {
+    if let Err(error) = app.node.may_serve() {
+        return refused(&error);
+    }
+    let call = match body(request, caller_api::BODY_MAX_BYTES).await {
         Ok(call) => call,
         Err(error) => return refused(&error),
     };
@@ -106,8 +126,9 @@
 /// A request's body, read up to the limit and parsed.
 pub(crate) async fn body<T: serde::de::DeserializeOwned>(
     request: request::Request,
+    max_bytes: usize,
 ) -> Result<T, caller_api::ErrorReply> {
-    let limited = http_body_util::Limited::new(request.into_body(), caller_api::BODY_MAX_BYTES);
+    let limited = http_body_util::Limited::new(request.into_body(), max_bytes);
     let bytes = match limited.collect().await {
         Ok(collected) => collected.to_bytes(),
         Err(error) if error.is::<http_body_util::LengthLimitError>() => {
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -15,7 +15,7 @@
 use crate::owner;
 use crate::seal;
 use crate::serve;
-use crate::settings;
+use crate::spreader;
 use crate::traffic;
 use error_stack::ResultExt as _;
 use std::net;
@@ -67,7 +67,6 @@
 pub async fn start(
     config: config::Config,
     secrets: config::Secrets,
-    settings: settings::Settings,
 ) -> Result<Instance, error_stack::Report<InstanceError>> {
     let boot = ids::BootId(now_us());
     let listen_error = || InstanceError::Listen(config.listen);
@@ -91,18 +90,20 @@
     let attempts: sync::Arc<attempts::Attempts> = sync::Arc::default();
     let me = config.instance.clone();
     let links = link::Links::new(me.clone(), boot, &secrets.key, attempts.clone());
+    let (spreader, inbox) = spreader::channel();
     let node = sync::Arc::new(entry::Node {
         me: me.clone(),
         boot,
         place: config.place(),
         world: sync::Arc::default(),
-        settings: arc_swap::ArcSwap::from_pointee(settings),
+        settings: arc_swap::ArcSwap::default(),
         holdings: arc_swap::ArcSwap::default(),
         attempts,
         gossip,
         links: sync::Arc::new(links),
         home: home::Home::new(me.clone(), boot),
         owner: sync::Arc::new(owner::Owner::new(me)),
+        spreader,
         traffics: traffic::Traffics::default(),
         policy: config.policy,
         gate: gate::Gate::default(),
@@ -115,6 +116,7 @@
     duties.spawn(duty::follow(node.clone(), serve));
     duties.spawn(duty::probe(node.clone()));
     duties.spawn(duty::tick(node.clone()));
+    duties.spawn(spreader::run(node.clone(), config.platform, config.seeds.len(), inbox));
     let app = sync::Arc::new(http::App {
         node: node.clone(),
         token: secrets.token,
--- /dev/null
+++ b/src/operators.rs
@@ -0,0 +1,157 @@
+//! The HTTP handlers for operators: declare, confirm, status.
+
+use crate::caller_api;
+use crate::check;
+use crate::document;
+use crate::entry;
+use crate::http;
+use crate::ids;
+use crate::operator_api;
+use crate::plan;
+use crate::spread::api;
+use crate::spreader;
+use std::sync;
+use volo_http::request;
+use volo_http::response;
+use volo_http::server::route;
+use volo_http::utils;
+
+/// The longest wait for an acceptance that an operator may ask for.
+pub const WAIT_MAX_MS: u32 = 60_000;
+
+/// The largest declaration, in bytes.
+pub const DECLARATION_MAX_BYTES: usize = 2 << 20;
+
+/// Adds the routes.
+pub fn routes(router: route::Router) -> route::Router {
+    router
+        .route("/v1/operator/plans", route::post(declare))
+        .route("/v1/operator/confirm", route::post(confirm))
+        .route("/v1/operator/status", route::get(status))
+}
+
+async fn declare(
+    utils::Extension(app): http::Shared,
+    request: request::Request,
+) -> response::Response {
+    if let Err(error) = authorize(&app, &request) {
+        return http::refused(&error);
+    }
+    let call: operator_api::DeclareCall = match http::body(request, DECLARATION_MAX_BYTES).await {
+        Ok(call) => call,
+        Err(error) => return http::refused(&error),
+    };
+    let (settings, warnings) = match check::parse(&call.document) {
+        Ok(checked) => checked,
+        Err(findings) => {
+            let reply = operator_api::FindingsReply { findings };
+            return http::json(::http::StatusCode::UNPROCESSABLE_ENTITY, &reply);
+        }
+    };
+    let document = match document::Document::new(settings) {
+        Ok(document) => sync::Arc::new(document),
+        Err(error) => {
+            let code = caller_api::ErrorCode::TooLarge;
+            return http::refused(&entry::refuse(code, error.to_string()));
+        }
+    };
+    let declaration = spreader::Declaration { document, warnings };
+    match app.node.spreader.declare(declaration).await {
+        Ok(Ok(plan)) => http::json(::http::StatusCode::OK, &plan),
+        Ok(Err(error)) => {
+            let code = caller_api::ErrorCode::PlatformUnreachable;
+            http::refused(&entry::refuse(code, error.to_string()))
+        }
+        Err(error) => {
+            http::refused(&entry::refuse(caller_api::ErrorCode::NotReady, error.to_string()))
+        }
+    }
+}
+
+async fn confirm(
+    utils::Extension(app): http::Shared,
+    request: request::Request,
+) -> response::Response {
+    if let Err(error) = authorize(&app, &request) {
+        return http::refused(&error);
+    }
+    let limit = caller_api::BODY_MAX_BYTES;
+    let call: operator_api::ConfirmCall = match http::body(request, limit).await {
+        Ok(call) => call,
+        Err(error) => return http::refused(&error),
+    };
+    let Ok(plan) = call.plan.parse::<plan::PlanId>() else {
+        return http::json(::http::StatusCode::OK, &operator_api::ConfirmReply::UnknownPlan);
+    };
+    match app.node.spreader.confirm(plan, call.wait_ms.min(WAIT_MAX_MS)).await {
+        Ok(reply) => http::json(::http::StatusCode::OK, &reply),
+        Err(error) => {
+            http::refused(&entry::refuse(caller_api::ErrorCode::NotReady, error.to_string()))
+        }
+    }
+}
+
+async fn status(
+    utils::Extension(app): http::Shared,
+    request: request::Request,
+) -> response::Response {
+    if let Err(error) = authorize(&app, &request) {
+        return http::refused(&error);
+    }
+    http::json(::http::StatusCode::OK, &app.node.status())
+}
+
+/// Only those who have the token may go on. The comparison's time does not depend on the token.
+fn authorize(app: &http::App, request: &request::Request) -> Result<(), caller_api::ErrorReply> {
+    let refused = || {
+        let code = caller_api::ErrorCode::Unauthorized;
+        entry::refuse(code, "the operators' token is missing or wrong")
+    };
+    let header = request.headers().get(::http::header::AUTHORIZATION).ok_or_else(refused)?;
+    let given = header.to_str().ok().and_then(|text| text.strip_prefix("Bearer "));
+    let given = given.ok_or_else(refused)?;
+    // Hashes compare in constant time.
+    if blake3::hash(given.as_bytes()) == blake3::hash(app.token.as_bytes()) {
+        return Ok(());
+    }
+    Err(refused())
+}
+
+impl entry::Node {
+    /// All instances and the revisions that they have said to have in force.
+    pub fn status(&self) -> operator_api::StatusReply {
+        let known = self.spreader.known();
+        let mut instances = Vec::new();
+        for record in &self.gossip.view().members {
+            let revision = match record.name == self.me {
+                true => known.in_force,
+                false => said(&known, record),
+            };
+            instances.push(operator_api::InstanceStatus {
+                instance: record.name.clone(),
+                boot: record.boot,
+                region: record.region.clone(),
+                failure_domain: record.failure_domain.clone(),
+                address: record.caller_address,
+                state: compact_str::format_compact!("{}", record.state),
+                revision,
+                behind: revision < known.newest,
+            });
+        }
+        operator_api::StatusReply { answered_by: self.me.clone(), newest: known.newest, instances }
+    }
+}
+
+/// What the member's present boot has said; nothing counts as none in force.
+fn said(known: &spreader::Known, record: &crate::member::Record) -> ids::Revision {
+    let found = known.said.binary_search_by(|said| said.instance.cmp(&record.name));
+    match found.ok().and_then(|index| known.said.get(index)) {
+        Some(said) if said.boot == record.boot => said.revision,
+        _ => ids::Revision(0),
+    }
+}
+
+/// The reply to another instance that asks for a document.
+pub async fn fetch(node: &entry::Node, call: api::FetchCall) -> api::FetchReply {
+    node.spreader.fetch_asked(call).await.unwrap_or(api::FetchReply::Missing)
+}
--- a/src/peer_api.rs
+++ b/src/peer_api.rs
@@ -9,6 +9,7 @@
 use crate::rank;
 use crate::searcher_api;
 use crate::snapshot;
+use crate::spread::api;
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
@@ -223,8 +224,8 @@
         /// The caller's request.
         call: caller_api::RunCall,
     },
-    /// For the spread of settings.
-    Settings(Vec<u8>),
+    /// Give a settings document.
+    Fetch(api::FetchCall),
 }
 
 /// The answer to a [`Request`].
@@ -234,8 +235,8 @@
     OwnerRun(RunOutcome),
     /// To [`Request::HomeRun`].
     HomeRun(Result<caller_api::RunAnswer, caller_api::ErrorReply>),
-    /// To [`Request::Settings`].
-    Settings(Vec<u8>),
+    /// To [`Request::Fetch`].
+    Fetch(api::FetchReply),
 }
 
 /// What goes over a link after the [`Hello`]s.
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -3,6 +3,7 @@
 use crate::entry;
 use crate::ids;
 use crate::link;
+use crate::operators;
 use crate::owner;
 use crate::peer_api;
 use std::sync;
@@ -53,6 +54,8 @@
         peer_api::Request::HomeRun { traceparent, call } => {
             peer_api::Reply::HomeRun(node.run_as_home(call, traceparent).await)
         }
-        peer_api::Request::Settings(_) => peer_api::Reply::Settings(Vec::new()),
+        peer_api::Request::Fetch(call) => {
+            peer_api::Reply::Fetch(operators::fetch(node, call).await)
+        }
     }
 }
