--- a/src/choose.rs
+++ b/src/choose.rs
@@ -17,8 +17,6 @@
 const NEAR_FACTOR: f64 = 2.0;
 /// Costs that differ by less than this are near-equal.
 const NEAR_US: f64 = 1_000.0;
-/// A searcher is slow above this many times the best one's cost, the network left out.
-const SLOW_FACTOR: f64 = 3.0;
 
 /// A searcher is suspect after so many calls in a row that were overdue,
 const UNANSWERED_MAX: u16 = 3;
@@ -92,10 +90,11 @@
         self.standing
     }
 
+    /// Whether this searcher is not near-equal to `other`, the network left out.
     fn is_slow(&self, now_us: u64, other: &Searcher) -> bool {
         let own_us = self.cost_us(now_us) - self.distance.round_trip_us() as f64;
         let other_us = other.cost_us(now_us) - other.distance.round_trip_us() as f64;
-        own_us > SLOW_FACTOR * other_us.max(NEAR_US)
+        own_us > (NEAR_FACTOR * other_us).max(other_us + NEAR_US)
     }
 
     fn wait_us(&self) -> f64 {
