--- a/src/client/caller.rs
+++ b/src/client/caller.rs
@@ -163,12 +163,13 @@
                 }
                 Err(error) if error.never_received() => last = error,
                 Err(client::CallError::Refused(at, reply)) => {
-                    let error = client::CallError::Refused(at, reply);
+                    let error = client::CallError::Refused(at, reply.clone());
                     // While an earlier try is in doubt, a refusal of this one says nothing of it.
-                    if in_doubt.is_none() && !error.is_worth_another() {
-                        return Err(error);
+                    match &mut in_doubt {
+                        Some(answer) => answer.cause = Some(reply.code),
+                        None if !error.is_worth_another() => return Err(error),
+                        None => last = error,
                     }
-                    last = error;
                 }
                 Err(_) => in_doubt = Some(in_doubt.unwrap_or_else(|| doubt(key))),
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,5 +52,5 @@
 pub mod settings;
 pub mod slots;
 pub mod snapshot;
-pub mod traffic;
 pub mod trace;
+pub mod traffic;
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -52,8 +52,9 @@
     pub hedges: u64,
     /// Retries.
     pub retries: u64,
-    /// Answers within the deadline during the flood, as a share of those before, both for each
-    /// second, in percent.
+    /// What the rank kept during the flood: answers within the deadline for each search offered, as
+    /// a share of the same before, in percent; for the flooded rank times the flood's factor. The
+    /// chance in the number of arrivals is left out by this.
     pub kept_percent: Option<f64>,
 }
 
@@ -138,16 +139,14 @@
 }
 
 fn kept_percent(plan: &load::Plan, tallies: &tally::Tallies, rank: rank::Rank) -> Option<f64> {
-    plan.flood?;
-    let rate_per_s = |phase: tally::Phase| {
-        let served = tallies.phase(phase, rank)?.served;
-        Some(served as f64 / phase.length_s(plan))
+    let flood = plan.flood?;
+    let served_share = |phase: tally::Phase| {
+        let tally = tallies.phase(phase, rank)?;
+        (tally.offered > 0).then(|| tally.served as f64 / tally.offered as f64)
     };
-    let before_per_s = rate_per_s(tally::Phase::Before)?;
-    if before_per_s <= 0.0 {
-        return None;
-    }
-    Some(100.0 * rate_per_s(tally::Phase::Flood)? / before_per_s)
+    let before = served_share(tally::Phase::Before).filter(|share| *share > 0.0)?;
+    let more_offered = if rank == flood.rank { flood.factor } else { 1.0 };
+    Some(100.0 * more_offered * served_share(tally::Phase::Flood)? / before)
 }
 
 fn percent(part: u64, whole: u64) -> Option<f64> {
