--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -124,6 +124,12 @@
         ("frozen before the send", OWN, &[Request, After(DEADLINE_MS), Send, Request]),
         ("frozen past the lifetime", OWN, &[Request, After(LIFE), Send, Request]),
         ("frozen while sent", OWN, &[Request, Send, After(DEADLINE_MS), Verdict, Request, Ran]),
+        ("hedged: a second send while one is out", OWN, &[Request, Send, Send, Ran, Send]),
+        (
+            "refused twice, lost at the third",
+            OWN,
+            &[Request, Send, Refused, Send, Refused, Send, Lost, Send],
+        ),
         ("doubled reply", OWN, &[Request, Send, Ran, Ran]),
         ("answer of a refused attempt", OWN, &[Request, Send, Refused, Ran, Refused]),
         ("sealed, then the first comes late", OWN, &[Seal, Request, Send, Seal]),
