--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,5 +52,6 @@
 pub mod settings;
 pub mod slots;
 pub mod snapshot;
+pub mod spread;
 pub mod trace;
 pub mod traffic;
