--- a/standin/src/spread_world.rs
+++ b/standin/src/spread_world.rs
@@ -84,6 +84,7 @@
     spread: Option<spread::Spread>,
     left: bool,
     paused_until_ms: u64,
+    unlisted_until_ms: u64,
     applied: ids::Revision,
     seen: Vec<Seen>,
 }
@@ -162,6 +163,7 @@
                 spread: None,
                 left: false,
                 paused_until_ms: 0,
+                unlisted_until_ms: 0,
                 applied: ids::Revision(0),
                 seen: vec![Seen::default(); nodes],
             });
@@ -251,6 +253,12 @@
         self.nodes[node].paused_until_ms = self.now_ms + pause_ms;
     }
 
+    /// Freezes an instance for a time in which the platform takes it for gone.
+    pub fn pause_unlisted(&mut self, node: usize, pause_ms: u64) {
+        self.pause(node, pause_ms);
+        self.nodes[node].unlisted_until_ms = self.now_ms + pause_ms;
+    }
+
     /// Has an operator declare settings at an instance.
     pub fn declare(&mut self, node: usize, ticket: u64, document: document::Document) {
         let document = sync::Arc::new(document);
--- a/standin/src/spread_world/membership.rs
+++ b/standin/src/spread_world/membership.rs
@@ -25,7 +25,7 @@
         }
         let mut names = Vec::new();
         for node in &self.nodes {
-            if node.spread.is_some() {
+            if node.spread.is_some() && node.unlisted_until_ms <= self.now_ms {
                 names.push(node.name.clone());
             }
         }
--- a/standin/tests/spread.rs
+++ b/standin/tests/spread.rs
@@ -168,6 +168,16 @@
         world.run_for(8_000);
         vec![first, confirmed(world, 0, 12, plan, 8_000), state(world)]
     }),
+    ("an instance is paused and dropped from the list through a change, and wakes", |world| {
+        let plan = declared(world, 0, 10);
+        world.pause_unlisted(3, 12_000);
+        let first = confirmed(world, 0, 11, plan, 10_000);
+        let wakes_at_ms = world.now_ms() + 12_000;
+        world.run_until(wakes_at_ms, |world| world.is_up(3));
+        let waking = format!("awake {}, serving {}", world.is_up(3), world.serves(3));
+        world.run_for(2_000);
+        vec![first, waking, state(world)]
+    }),
     ("an instance is killed, the list drops it later", |world| {
         let plan = declared(world, 0, 10);
         world.kill(3);
@@ -267,9 +277,10 @@
     Replace,
     Pause,
     ShortPause,
+    PauseUnlisted,
 }
 
-const FAULTS: [Fault; 9] = [
+const FAULTS: [Fault; 10] = [
     Fault::PlatformDown,
     Fault::RepliesLost,
     Fault::PlatformSlow,
@@ -279,6 +290,7 @@
     Fault::Replace,
     Fault::Pause,
     Fault::ShortPause,
+    Fault::PauseUnlisted,
 ];
 
 fn strike(world: &mut World, rng: &mut rngs::StdRng, fault: Fault) {
@@ -296,6 +308,7 @@
         Fault::Replace => world.leave(node),
         Fault::Pause => world.pause(node, rng.random_range(3_500..12_000)),
         Fault::ShortPause => world.pause(node, rng.random_range(500..3_500)),
+        Fault::PauseUnlisted => world.pause_unlisted(node, rng.random_range(3_500..12_000)),
     }
 }
 
@@ -387,6 +400,12 @@
 
 /// Seeds that once broke something are kept here, with their faults.
 const KEPT: &[(u64, [Fault; 2])] = &[
+    (9, [Fault::PlatformDown, Fault::PlatformDown]),
+    (317, [Fault::PlatformDown, Fault::Parted]),
+    (610, [Fault::PlatformDown, Fault::Replace]),
+    (1317, [Fault::RepliesLost, Fault::Parted]),
+    (1715, [Fault::RepliesLost, Fault::Pause]),
+    (6119, [Fault::Replace, Fault::RepliesLost]),
     (2001, [Fault::PlatformSlow, Fault::PlatformDown]),
     (2200, [Fault::PlatformSlow, Fault::PlatformSlow]),
     (2801, [Fault::PlatformSlow, Fault::ShortPause]),
