Golden file of a whole session with the processes apart

Cause: the path was tried by hand only. Platform, backend servers, three instances, caller and operator run as processes; the session goes from an empty store through declare, confirm, searches, a claim and its repeat, a race of two operators, a graceful stop and a killed home.

--- /dev/null
+++ b/standin/tests/deployment/mod.rs
@@ -0,0 +1,286 @@
+//! A whole deployment of real processes for tests: platform and backend servers as stand-ins, instances
+//! and the command-line client as they ship.
+
+#![allow(dead_code, reason = "each test uses its own part")]
+
+use serde_json::Value;
+use std::io;
+use std::io::BufRead as _;
+use std::net;
+use std::path;
+use std::process;
+use std::sync::mpsc;
+use std::thread;
+use std::time;
+
+/// How long anything is waited for; no verdict depends on how much of it is used.
+pub const PATIENCE: time::Duration = time::Duration::from_secs(60);
+
+/// How often a condition is looked at.
+const LOOK_PERIOD: time::Duration = time::Duration::from_millis(50);
+
+/// The operators' token.
+pub const TOKEN: &str = "a-token-for-tests";
+
+const KEY: &str = "0707070707070707070707070707070707070707070707070707070707070707";
+
+/// The domains that instances are spread over, as in the fleet files of the tests.
+const PLACES: [(&str, &str); 3] =
+    [("north", "north-1"), ("coast", "coast-1"), ("valley", "valley-1")];
+
+/// A process that is killed when it is dropped.
+pub struct Process {
+    child: process::Child,
+    lines: mpsc::Receiver<String>,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    fn start(mut command: process::Command, from_stderr: bool) -> Self {
+        command.stdin(process::Stdio::null());
+        let (stdout, stderr) = match from_stderr {
+            true => (process::Stdio::null(), process::Stdio::piped()),
+            false => (process::Stdio::piped(), process::Stdio::null()),
+        };
+        let mut child = command.stdout(stdout).stderr(stderr).spawn().expect("the program starts");
+        let stream: Box<dyn io::Read + Send> = match from_stderr {
+            true => Box::new(child.stderr.take().expect("piped")),
+            false => Box::new(child.stdout.take().expect("piped")),
+        };
+        let (sender, lines) = mpsc::channel();
+        thread::spawn(move || {
+            for line in io::BufReader::new(stream).lines() {
+                let Ok(line) = line else { break };
+                if sender.send(line).is_err() {
+                    break;
+                }
+            }
+        });
+        Self { child, lines }
+    }
+
+    /// The next line that `pick` makes something of.
+    pub fn wait_line<T>(&self, mut pick: impl FnMut(&str) -> Option<T>) -> T {
+        let deadline = time::Instant::now() + PATIENCE;
+        loop {
+            let left = deadline.saturating_duration_since(time::Instant::now());
+            let line = self.lines.recv_timeout(left).expect("the line comes in time");
+            if let Some(picked) = pick(&line) {
+                return picked;
+            }
+        }
+    }
+
+    /// The process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: libc::c_int) {
+        // SAFETY: the child has not been waited for, so that the id is still its own.
+        let sent = unsafe { libc::kill(self.child.id() as libc::pid_t, signal) };
+        assert_eq!(sent, 0, "the signal is sent");
+    }
+
+    /// Waits for the end and returns whether it was a success.
+    pub fn wait(&mut self) -> bool {
+        let deadline = time::Instant::now() + PATIENCE;
+        while time::Instant::now() < deadline {
+            if let Some(status) = self.child.try_wait().expect("the process can be waited for") {
+                return status.success();
+            }
+            thread::sleep(LOOK_PERIOD);
+        }
+        panic!("the process does not end");
+    }
+}
+
+/// The program `name`, beside the stand-in's. Built if it is not there.
+fn program(name: &str) -> path::PathBuf {
+    let standin = path::Path::new(env!("CARGO_BIN_EXE_standin"));
+    let program = standin.with_file_name(name);
+    if !program.exists() {
+        let built = process::Command::new(env!("CARGO"))
+            .args(["build", "--package", "tarragondoor", "--bins"])
+            .status()
+            .expect("cargo runs");
+        assert!(built.success(), "the programs build");
+    }
+    program
+}
+
+/// The platform as a process.
+pub fn start_platform() -> (Process, net::SocketAddr) {
+    let mut command = process::Command::new(env!("CARGO_BIN_EXE_standin"));
+    command.args(["platform", "--listen", "127.0.0.1:0"]);
+    let platform = Process::start(command, false);
+    let address =
+        platform.wait_line(|line| line.strip_prefix("platform ").and_then(|a| a.parse().ok()));
+    (platform, address)
+}
+
+/// The backend servers of a fleet file as one process.
+pub fn start_searchers(fleet: &path::Path, platform: net::SocketAddr) -> Process {
+    let mut command = process::Command::new(env!("CARGO_BIN_EXE_standin"));
+    command.arg("searchers").arg("--fleet").arg(fleet).args(["--platform", &platform.to_string()]);
+    let searchers = Process::start(command, false);
+    searchers.wait_line(|line| (line == "ready").then_some(()));
+    searchers
+}
+
+/// An instance as a process.
+pub struct Instance {
+    /// Its name.
+    pub name: String,
+    /// The process.
+    pub process: Process,
+    /// Its address for callers.
+    pub address: net::SocketAddr,
+    /// Its address for instances.
+    pub peer_address: net::SocketAddr,
+    /// Its boot.
+    pub boot: u64,
+}
+
+/// Starts the instance number `number`, counted from 1, in the domain that is its turn.
+pub fn start_instance(
+    number: usize,
+    platform: net::SocketAddr,
+    seeds: &[&Instance],
+    address_ttl_ms: u32,
+) -> Instance {
+    let name = format!("entry-{number}");
+    let (region, domain) = PLACES[(number - 1) % PLACES.len()];
+    let mut seed_list = Vec::new();
+    for seed in seeds {
+        seed_list.push(serde_json::json!({
+            "instance": seed.name, "peer_address": seed.peer_address,
+        }));
+    }
+    let config = serde_json::json!({
+        "instance": name, "region": region, "failure_domain": domain,
+        "listen": "127.0.0.1:0", "peer_listen": "127.0.0.1:0", "platform": platform,
+        "seeds": seed_list, "address_ttl_ms": address_ttl_ms, "log": "json",
+    });
+    let file = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!(
+        "{name}-{}-{}.jsonc",
+        process::id(),
+        platform.port()
+    ));
+    std::fs::write(&file, config.to_string()).expect("the settings are written");
+    let mut command = process::Command::new(program("tarragondoord"));
+    command.arg("--config").arg(&file);
+    command.env("TARRAGONDOOR_KEY", KEY).env("TARRAGONDOOR_TOKEN", TOKEN).env("RUST_LOG", "info");
+    let process = Process::start(command, true);
+    let started = process.wait_line(|line| {
+        let event: Value = serde_json::from_str(line).ok()?;
+        (event.get("event")?.as_u64()? == 100).then_some(event)
+    });
+    let text = |name: &str| started[name].as_str().expect("a text").to_owned();
+    Instance {
+        address: text("address").parse().expect("an address"),
+        peer_address: text("peer_address").parse().expect("an address"),
+        boot: text("boot").parse().expect("a number"),
+        name,
+        process,
+    }
+}
+
+/// An answer over HTTP.
+#[derive(Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// The body.
+    pub body: Value,
+}
+
+/// Calls an instance.
+pub async fn call(address: net::SocketAddr, path: &str, body: Option<&Value>) -> Option<Answer> {
+    call_with(address, path, body, time::Duration::from_secs(30)).await
+}
+
+/// Calls an instance; gives up after `timeout`.
+pub async fn call_with(
+    address: net::SocketAddr,
+    path: &str,
+    body: Option<&Value>,
+    timeout: time::Duration,
+) -> Option<Answer> {
+    let connections = tarragondoor::connection::Connections::new(address, 1);
+    let call = match body {
+        None => tarragondoor::connection::Call::get(path),
+        Some(body) => tarragondoor::connection::Call::json(http::Method::POST, path, body).ok()?,
+    };
+    let answer = connections.send(call, timeout).await.ok()?;
+    let body = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+    Some(Answer { status: answer.status.as_u16(), body })
+}
+
+/// Waits until `look` gives something.
+pub async fn wait_for<T>(what: &str, mut look: impl AsyncFnMut() -> Option<T>) -> T {
+    let deadline = time::Instant::now() + PATIENCE;
+    while time::Instant::now() < deadline {
+        if let Some(found) = look().await {
+            return found;
+        }
+        tokio::time::sleep(LOOK_PERIOD).await;
+    }
+    panic!("{what}: not in time");
+}
+
+/// A search for `query`.
+pub fn search(service: &str, query: &str) -> Value {
+    serde_json::json!({
+        "service": service, "query": query, "limit": 5, "rank": "urgent", "deadline_ms": 5_000,
+    })
+}
+
+/// Waits until an instance answers a search on the service whole.
+pub async fn wait_whole(address: net::SocketAddr, service: &str) {
+    wait_for("a whole answer", async || {
+        let answer = call(address, "/v1/search", Some(&search(service, "warm up"))).await?;
+        let missing = answer.body.pointer("/coverage/missing")?.as_array()?.len();
+        (answer.status == 200 && missing == 0).then_some(())
+    })
+    .await;
+}
+
+/// Waits until an instance sees `count` instances alive.
+pub async fn wait_members(address: net::SocketAddr, count: usize) {
+    wait_for("all members", async || {
+        let answer = call(address, "/v1/addresses", None).await?;
+        let seen = answer.body.get("addresses")?.as_array()?.len();
+        (seen == count).then_some(())
+    })
+    .await;
+}
+
+/// The output of the command-line client.
+pub struct Output {
+    /// The exit code.
+    pub code: i32,
+    /// What it printed.
+    pub text: String,
+}
+
+/// Runs the command-line client.
+pub fn client(server: net::SocketAddr, arguments: &[&str]) -> Output {
+    let output = process::Command::new(program("tarragondoor"))
+        .args(arguments)
+        .env("TARRAGONDOOR_SERVER", server.to_string())
+        .env("TARRAGONDOOR_TOKEN", TOKEN)
+        .output()
+        .expect("the client runs");
+    let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
+    text.push_str(&String::from_utf8_lossy(&output.stderr));
+    Output { code: output.status.code().unwrap_or(-1), text }
+}
--- /dev/null
+++ b/standin/tests/session.rs
@@ -0,0 +1,131 @@
+//! A whole session with all processes apart, as a golden file: platform, backend servers, three
+//! instances, a caller, an operator.
+
+mod deployment;
+
+use std::fmt::Write as _;
+use std::net;
+use std::path;
+
+/// What the session printed, with what differs from run to run replaced.
+struct Transcript {
+    text: String,
+    names: Vec<(String, String)>,
+}
+
+impl Transcript {
+    fn note(&mut self, title: &str) {
+        writeln!(self.text, "## {title}").expect("a string takes it");
+    }
+
+    fn run(&mut self, server: net::SocketAddr, arguments: &[&str]) -> String {
+        let output = deployment::client(server, arguments);
+        let mut shown = format!("$ tarragondoor {}\n{}", arguments.join(" "), output.text);
+        for (from, to) in &self.names {
+            shown = shown.replace(from, to);
+        }
+        let shown = without_query_ids(&shown);
+        writeln!(self.text, "{}\nexit {}\n", shown.trim_end(), output.code)
+            .expect("a string takes it");
+        output.text
+    }
+}
+
+/// Query ids are drawn at random.
+fn without_query_ids(text: &str) -> String {
+    let mut shown = String::new();
+    for line in text.lines() {
+        match line.split_once(", query ") {
+            Some((before, _)) => writeln!(shown, "{before}, query ID"),
+            None => writeln!(shown, "{line}"),
+        }
+        .expect("a string takes it");
+    }
+    shown
+}
+
+/// The plan's id in the last line of a declaration.
+fn plan_of(text: &str) -> String {
+    let line = text.lines().find_map(|line| line.split_once("tarragondoor confirm "));
+    line.expect("a plan").1.trim().to_owned()
+}
+
+fn data(name: &str) -> path::PathBuf {
+    path::Path::new("tests/data").join(name)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_whole_session() {
+    let (_platform, platform) = deployment::start_platform();
+    let _searchers = deployment::start_searchers(&data("fleet.jsonc"), platform);
+    let first = deployment::start_instance(1, platform, &[], 500);
+    let second = deployment::start_instance(2, platform, &[&first], 500);
+    let mut third = deployment::start_instance(3, platform, &[&first], 500);
+    for instance in [&first, &second, &third] {
+        deployment::wait_members(instance.address, 3).await;
+    }
+    let mut names = Vec::new();
+    for (instance, name) in [(&first, "FIRST"), (&second, "SECOND"), (&third, "THIRD")] {
+        // The address is padded in tables; the padding goes with it.
+        names.push((format!("{:<22}", instance.address), format!("{name:<22}")));
+        names.push((instance.address.to_string(), name.to_owned()));
+        names.push((instance.boot.to_string(), format!("{name}-BOOT")));
+    }
+    let mut session = Transcript { text: String::new(), names };
+
+    session.note("nothing is declared yet");
+    session.run(first.address, &["search", "--service", "beans", "--query", "late runner"]);
+    session.run(first.address, &["status"]);
+
+    session.note("the operator declares, looks at the plan and confirms it");
+    session.run(first.address, &["check", "tests/data/settings.jsonc"]);
+    let declared = session.run(first.address, &["declare", "tests/data/settings.jsonc"]);
+    let plan = plan_of(&declared);
+    session.run(second.address, &["confirm", &plan]);
+    session.run(third.address, &["status"]);
+
+    session.note("callers search and claim");
+    for instance in [&first, &second, &third] {
+        deployment::wait_whole(instance.address, "beans").await;
+        deployment::wait_whole(instance.address, "packets").await;
+    }
+    let find = ["search", "--service", "packets", "--query", "late runner", "--limit", "3"];
+    session.run(first.address, &find);
+    session.run(third.address, &find);
+    let key = format!("entry-2:{}:{}-0123456789abcdef", second.boot, second.boot / 1_000_000);
+    session.names.insert(0, (key.clone(), "KEY".to_owned()));
+    let claim = [
+        "run",
+        "--service",
+        "packets",
+        "--operation",
+        "claim",
+        "--subject",
+        "packet-17",
+        "--key",
+        &key,
+    ];
+    session.run(second.address, &claim);
+    session.note("the same claim again, at another instance");
+    session.run(third.address, &claim);
+
+    session.note("two operators race: both plans have the same base");
+    let mine =
+        plan_of(&session.run(first.address, &["declare", "tests/data/settings-changed.jsonc"]));
+    let theirs =
+        plan_of(&session.run(second.address, &["declare", "tests/data/settings-raced.jsonc"]));
+    session.run(first.address, &["confirm", &mine]);
+    session.run(second.address, &["confirm", &theirs]);
+
+    session.note("the third instance is told to stop");
+    third.process.signal(libc::SIGTERM);
+    assert!(third.process.wait(), "the third instance stops with success");
+    deployment::wait_members(first.address, 2).await;
+    session.run(first.address, &find);
+    session.run(first.address, &["status"]);
+
+    session.note("a key whose home was killed: the outcome is unknown, and it is not run again");
+    drop(second);
+    session.run(first.address, &claim);
+    insta::assert_snapshot!(session.text);
+}
