Demo of the whole path; at most once proved with real processes

Cause: the README needs one command that shows the main job, and the ledger's proofs did not cover the wiring.

--- a/src/instance.rs
+++ b/src/instance.rs
@@ -49,14 +49,14 @@
     Server,
 }
 
-/// A running instance. Dropping it ends it at once, as a crash would.
+/// A running instance. Dropping it ends it without a drain.
 pub struct Instance {
     node: sync::Arc<entry::Node>,
     app: sync::Arc<http::App>,
     address: net::SocketAddr,
     peer_address: net::SocketAddr,
     listener: Option<tokio::net::TcpListener>,
-    duties: tokio::task::JoinSet<()>,
+    _duties: tokio::task::JoinSet<()>,
 }
 
 /// Starts an instance; it serves callers once [`Instance::serve`] runs.
@@ -130,7 +130,7 @@
         address = %address,
         peer_address = %peer_address
     );
-    Ok(Instance { node, app, address, peer_address, listener: Some(listener), duties })
+    Ok(Instance { node, app, address, peer_address, listener: Some(listener), _duties: duties })
 }
 
 impl Instance {
@@ -169,11 +169,6 @@
         crate::event!(info, Event::InstanceStopped, instance = %self.node.me);
         Ok(())
     }
-
-    /// Ends the instance at once.
-    pub fn kill(mut self) {
-        self.duties.abort_all();
-    }
 }
 
 /// Serves on for as long as callers may hold this instance's address, and until it is idle.
--- a/standin/src/bin/standin.rs
+++ b/standin/src/bin/standin.rs
@@ -1,16 +1,21 @@
-//! Runs a stand-in: `standin platform` or `standin searchers`.
+//! Runs a stand-in, `standin platform` or `standin searchers`, or the demo of the whole path.
 
 use error_stack::{Report, ResultExt as _};
 use lexopt::ValueExt as _;
-use standin::{fleet, layout, platform};
+use standin::{demo, fleet, layout, platform};
 use std::fs;
 use std::net;
 use std::path;
+use tarragondoor::log;
 
 const USAGE: &str = "\
-usage: standin platform --listen ADDR [--faults JSON]
+usage: standin demo
+       standin platform --listen ADDR [--faults JSON]
        standin searchers --fleet FILE [--platform ADDR]";
 
+const LOG_FILTER: &str = "info,volo_http=warn,volo=warn";
+const DEMO_LOG_FILTER: &str = "error";
+
 #[derive(Debug, thiserror::Error)]
 enum MainError {
     #[error("bad command line\n{USAGE}")]
@@ -19,6 +24,8 @@
     Platform,
     #[error("can't start the backend servers")]
     Searchers,
+    #[error("the demo failed")]
+    Demo,
 }
 
 #[derive(Default)]
@@ -32,11 +39,16 @@
 
 #[tokio::main]
 async fn main() -> Result<(), Report<MainError>> {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).init();
     let options = parse().change_context(MainError::Usage)?;
+    let filter = match options.command.as_deref() {
+        Some("demo") => DEMO_LOG_FILTER,
+        _ => LOG_FILTER,
+    };
+    log::init(log::Format::Text, filter).change_context(MainError::Usage)?;
     match options.command.as_deref() {
         Some("platform") => run_platform(&options).await,
         Some("searchers") => run_searchers(&options).await,
+        Some("demo") => demo::run().await.change_context(MainError::Demo),
         _ => Err(Report::new(MainError::Usage)),
     }
 }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod client;
 pub mod corpus;
+pub mod demo;
 pub mod fleet;
 pub mod http;
 pub mod layout;
--- a/standin/tests/deployment/mod.rs
+++ b/standin/tests/deployment/mod.rs
@@ -284,3 +284,19 @@
     text.push_str(&String::from_utf8_lossy(&output.stderr));
     Output { code: output.status.code().unwrap_or(-1), text }
 }
+
+/// Declares the settings in a file and confirms the plan; they are in force everywhere then.
+pub fn put_in_force(server: net::SocketAddr, file: &str) {
+    let deadline = time::Instant::now() + PATIENCE;
+    loop {
+        let declared = client(server, &["--json", "declare", file]);
+        let plan: Value = serde_json::from_str(&declared.text).unwrap_or(Value::Null);
+        if let Some(plan) = plan.get("plan").and_then(Value::as_str) {
+            let confirmed = client(server, &["confirm", plan, "--wait-ms", "30000"]);
+            assert_eq!(confirmed.code, 0, "{}", confirmed.text);
+            return;
+        }
+        assert!(time::Instant::now() < deadline, "{}", declared.text);
+        thread::sleep(LOOK_PERIOD);
+    }
+}
