--- a/src/bin/tarragondoor.rs
+++ b/src/bin/tarragondoor.rs
@@ -3,6 +3,7 @@
 use std::env;
 use std::process;
 use tarragondoor::cli;
+use tarragondoor::cmd;
 use tarragondoor::cmd::Run as _;
 
 fn main() -> process::ExitCode {
@@ -22,7 +23,7 @@
     match command.run(&global) {
         Ok(exit) => exit,
         Err(report) => {
-            eprintln!("tarragondoor: {report:#}");
+            cmd::print_failure(&global, &report);
             report.current_context().exit()
         }
     }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 mod search;
 mod status;
 
+use crate::caller_api;
 use crate::cli;
 use crate::client;
 use crate::client::caller;
@@ -78,6 +79,32 @@
     }
 }
 
+/// A failure as JSON.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+struct FailureReply {
+    /// What failed, and why.
+    error: String,
+    /// The instance's word for the cause, if it gave one.
+    code: Option<caller_api::ErrorCode>,
+}
+
+/// Prints a failure to standard error: a line of text, or of JSON if that is asked for.
+pub fn print_failure(global: &cli::Global, report: &Report<Failure>) {
+    let error = format!("{report:#}");
+    if !global.json {
+        eprintln!("tarragondoor: {error}");
+        return;
+    }
+    let code = match report.downcast_ref::<client::CallError>() {
+        Some(client::CallError::Refused(_, reply)) => Some(reply.code),
+        _ => None,
+    };
+    match serde_json::to_string(&FailureReply { error, code }) {
+        Ok(json) => eprintln!("{json}"),
+        Err(_) => eprintln!("{report:#}"),
+    }
+}
+
 fn print(text: &str) -> Result<cli::Exit, Report<Failure>> {
     match io::stdout().write_all(text.as_bytes()) {
         Ok(()) => Ok(cli::Exit::Done),
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -139,7 +139,9 @@
     let mut text = client(&servers, Some("secret"), &["status"]);
     text.push_str(&client(&servers, Some("secret"), &["declare", file]));
     text.push_str(&client(&servers, Some("wrong"), &["declare", file]));
+    text.push_str(&client(&servers, Some("wrong"), &["status", "--json"]));
     text.push_str(&client(&servers[..2], Some("secret"), &["status"]));
+    text.push_str(&client(&servers[..2], Some("secret"), &["status", "--json"]));
     insta::assert_snapshot!(text);
 }
 
