--- a/tests/events.rs
+++ b/tests/events.rs
@@ -29,30 +29,43 @@
         let path = entry.unwrap().path();
         if path.is_dir() {
             sources(&path, texts);
+        } else if path.ends_with("src/events.rs") {
+            // The macro's own comment has an example.
+            continue;
         } else if path.extension().is_some_and(|extension| extension == "rs") {
             texts.push(fs::read_to_string(path).unwrap());
         }
     }
 }
 
-/// The level and the variant of each `event!` in the sources.
+/// The variants named in `text`, each as `Event::Variant`.
+fn variants(text: &str) -> Vec<String> {
+    let names = text.split("Event::").skip(1);
+    let end = |c: char| !c.is_ascii_alphanumeric();
+    names.map(|name| name.split(end).next().unwrap().to_owned()).collect()
+}
+
+/// The level and the variant of each `event!` in the sources. Where a variable stands for the
+/// event, all variants count that its `let` names.
 fn logged() -> collections::BTreeSet<(String, String)> {
     let mut texts = Vec::new();
     sources(path::Path::new("src"), &mut texts);
     let mut logged = collections::BTreeSet::new();
     for text in texts {
-        for part in text.split("event!(").skip(1) {
-            let Some((level, rest)) = part.split_once(',') else { continue };
-            let path = rest.split([',', ')']).next().unwrap().trim();
-            if let Some(variant) =
-                path.strip_prefix("events::").unwrap_or(path).strip_prefix("Event::")
-            {
-                logged.insert((level.trim().to_owned(), variant.to_owned()));
+        for (position, start) in text.match_indices("event!(") {
+            let (level, rest) = text[position + start.len()..].split_once(',').unwrap();
+            let event = rest.split([',', ')']).next().unwrap().trim();
+            let mut found = variants(event);
+            if found.is_empty() && event.chars().all(|c| c.is_ascii_lowercase()) {
+                let before = text[..position].rsplit(&format!("let {event} =")).next().unwrap();
+                found = variants(before.split(';').next().unwrap());
+                assert!(!found.is_empty(), "which event is {event}?");
+            }
+            for variant in found {
+                logged.insert((level.trim().to_owned(), variant));
             }
         }
     }
-    // The example in the macro's own comment.
-    assert!(logged.len() > 1, "no event! was found");
     logged
 }
 
