--- a/src/estimate.rs
+++ b/src/estimate.rs
@@ -53,6 +53,8 @@
 const RATE_WINDOW_COUNT: usize = 3;
 /// How many standard deviations make a jump.
 const JUMP_DEVIATIONS: f64 = 4.0;
+/// What a window that is restarted after a jump keeps of its weight.
+const RESTART_WEIGHT: f64 = 0.25;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Window {
@@ -85,6 +87,15 @@
         self.squares.sqrt() / self.watched_us
     }
 
+    /// The same rate at a smaller weight: part of it is from before the jump.
+    fn restarted(self) -> Self {
+        Self {
+            sum: self.sum * RESTART_WEIGHT,
+            squares: self.squares * RESTART_WEIGHT,
+            watched_us: self.watched_us * RESTART_WEIGHT,
+        }
+    }
+
     /// Whether this window's rate differs from a longer window's by more than chance.
     fn differs(&self, longer: &Window) -> bool {
         let scale = (longer.watched_us / self.watched_us.max(1.0)).max(1.0);
@@ -123,7 +134,7 @@
         for longer in 1..RATE_WINDOW_COUNT {
             let recent = self.windows[longer - 1];
             if recent.differs(&self.windows[longer]) {
-                self.windows[longer] = recent;
+                self.windows[longer] = recent.restarted();
             }
         }
         self.windows[RATE_WINDOW_COUNT - 1].per_us()
--- a/tests/policy_choice.rs
+++ b/tests/policy_choice.rs
@@ -200,7 +200,7 @@
             rate.per_us(now_us);
         }
         let found = rate.per_us(now_us) * interval_us as f64;
-        assert!((0.8..1.2).contains(&found), "{found} of the rate, {interval_us} us apart");
+        assert!((0.85..1.15).contains(&found), "{found} of the rate, {interval_us} us apart");
     }
 }
 
