Smaller files for slots and the driver

No measurement: types of the slots and halves of the driver move to files of their own; a ticket no longer names its query, since the order by queries' hash was tried and not kept.

--- /dev/null
+++ b/tests/driver/entry.rs
@@ -0,0 +1,236 @@
+//! The entries of the driver: queries, their calls, replies and hedges.
+
+use super::{CallRecord, ENTRIES, Ending, Event, LINK_US, Part, Query, Run};
+use tarragondoor::{admit, choose, hedge, ids, policy, rank};
+
+impl Run {
+    pub(super) fn arrive(&mut self) {
+        let phase = self.setup.phases.iter().rfind(|phase| phase.from_us <= self.now_us);
+        let Some(rates) = phase.map(|phase| phase.rates) else {
+            return;
+        };
+        if self.now_us >= self.setup.end_us {
+            return;
+        }
+        let total: f64 = rates.iter().sum();
+        let next_us = self.exponential(1e6 / total) as u64;
+        self.push(next_us, Event::Arrive);
+        let mut drawn = self.uniform() * total;
+        let mut rank = rank::Rank::Urgent;
+        for candidate in rank::Rank::ALL {
+            rank = candidate;
+            drawn -= rates[candidate.index()];
+            if drawn < 0.0 {
+                break;
+            }
+        }
+        let share = self.setup.first_entry_share;
+        let entry = match self.uniform() < share {
+            true => 0,
+            false => 1 + (self.uniform() * (ENTRIES - 1) as f64) as usize,
+        };
+        self.enter(entry, rank);
+    }
+
+    pub(super) fn enter(&mut self, entry: usize, rank: rank::Rank) {
+        let index = self.queries.len();
+        let seed = (self.uniform() * 1e18) as u64;
+        let at = &mut self.entries[entry];
+        let plan = at.chooser.choose(self.now_us, &self.layout, seed);
+        let mut admission = admit::Admission::Admit { weight: 1.0 };
+        if self.setup.policy == policy::Policy::Full {
+            let id = ids::QueryId(seed);
+            admission = at.gate.decide(self.now_us, id, rank, &self.layout, &plan);
+        }
+        let mut query = Query {
+            entry,
+            rank,
+            arrived_us: self.now_us,
+            weight: 1.0,
+            parts: Vec::new(),
+            ending: Ending::Open,
+        };
+        let admit::Admission::Admit { weight } = admission else {
+            query.ending = Ending::RefusedEarly;
+            self.queries.push(query);
+            return;
+        };
+        query.weight = weight;
+        at.hedger.needed(plan.calls.len() as u32);
+        self.needed_calls += plan.calls.len();
+        let parts = plan.calls.clone().into_iter();
+        query.parts = parts.map(|call| Part { call, answered: false, calls: Vec::new() }).collect();
+        self.queries.push(query);
+        for (part, call) in plan.calls.iter().enumerate() {
+            self.send(index, part, call.searcher);
+            let at = &mut self.entries[entry];
+            if let Some(slow) = at.chooser.probe(self.now_us, &self.layout, call)
+                && at.hedger.hedge(rank, false)
+            {
+                self.extra_calls += 1;
+                self.send(index, part, slow);
+            }
+        }
+        self.push(self.setup.deadlines_us[rank.index()], Event::Deadline(index));
+        if let Some(delay_us) = self.entries[entry].hedger.delay_us()
+            && self.setup.policy == policy::Policy::Full
+        {
+            self.push(delay_us, Event::Hedge(index));
+        }
+    }
+
+    pub(super) fn send(&mut self, query: usize, part: usize, searcher: u16) {
+        let entry = self.queries[query].entry;
+        let owner = match self.setup.two_owners {
+            Some((from_us, _)) if self.now_us < from_us => 0,
+            Some((_, to_us)) if self.now_us < to_us => entry % 2,
+            Some(_) => 1,
+            None => 0,
+        };
+        let call = self.calls.len();
+        self.calls.push(CallRecord {
+            query,
+            part,
+            searcher: usize::from(searcher),
+            owner,
+            sent_us: self.now_us,
+            started_us: 0,
+            over: false,
+        });
+        self.queries[query].parts[part].calls.push(call);
+        self.entries[entry].chooser.sent(searcher);
+        self.push(LINK_US, Event::Offer(call));
+    }
+
+    pub(super) fn reply(
+        &mut self,
+        call: usize,
+        answered: bool,
+        fractions: [u16; 3],
+        report: [u32; 4],
+    ) {
+        let record = &self.calls[call];
+        let (query, part, searcher) = (record.query, record.part, record.searcher as u16);
+        let latency_us = self.now_us - record.sent_us;
+        let at = &mut self.entries[self.queries[query].entry];
+        at.gate.learn(self.now_us, searcher, admit::Fractions(fractions));
+        let [slots, in_use, queued, service_us] = report;
+        let (slots, in_use, queued) = (slots as u16, in_use as u16, queued as u16);
+        at.chooser.reported(
+            self.now_us,
+            searcher,
+            choose::Report { slots, in_use, queued, service_us },
+        );
+        if answered {
+            at.chooser.answered(self.now_us, searcher, latency_us);
+            at.hedger.answered(latency_us);
+        }
+        if self.calls[call].over {
+            return;
+        }
+        self.calls[call].over = true;
+        self.entries[self.queries[query].entry].chooser.ended(searcher);
+        if !answered {
+            self.refused(query, part);
+            return;
+        }
+        self.queries[query].parts[part].answered = true;
+        self.give_up(query, part);
+        if self.queries[query].parts.iter().all(|part| part.answered) {
+            let latency_us = self.now_us - self.queries[query].arrived_us;
+            self.end(query, Ending::Served(latency_us));
+        }
+    }
+
+    pub(super) fn refused(&mut self, query: usize, part: usize) {
+        let calls = &self.queries[query].parts[part].calls;
+        if calls.iter().any(|call| !self.calls[*call].over) {
+            return;
+        }
+        if self.extra(query, part, |hedger, rank, saturated| hedger.retry(rank, saturated)) {
+            return;
+        }
+        self.end(query, Ending::RefusedLater);
+    }
+
+    /// Sends another call for the part, if there is a searcher for it and `allow` has it.
+    pub(super) fn extra(
+        &mut self,
+        query: usize,
+        part: usize,
+        allow: impl Fn(&mut hedge::Hedger, rank::Rank, bool) -> bool,
+    ) -> bool {
+        if self.setup.policy == policy::Policy::Plain {
+            return false;
+        }
+        let rank = self.queries[query].rank;
+        let asked = &self.queries[query].parts[part];
+        let tried: Vec<u16> =
+            asked.calls.iter().map(|call| self.calls[*call].searcher as u16).collect();
+        let at = &mut self.entries[self.queries[query].entry];
+        let found = at.chooser.alternative(self.now_us, &self.layout, &asked.call, &tried);
+        let Some(searcher) = found else {
+            return false;
+        };
+        let saturated = at.gate.share(self.now_us, searcher, rank) < 1.0;
+        if !allow(&mut at.hedger, rank, saturated) {
+            return false;
+        }
+        self.extra_calls += 1;
+        self.send(query, part, searcher);
+        true
+    }
+
+    pub(super) fn hedge(&mut self, query: usize) {
+        if self.queries[query].ending != Ending::Open {
+            return;
+        }
+        if let Some(delay_us) = self.entries[self.queries[query].entry].hedger.delay_us() {
+            self.push(delay_us, Event::Hedge(query));
+        }
+        for part in 0..self.queries[query].parts.len() {
+            let asked = &self.queries[query].parts[part];
+            if asked.answered || asked.calls.len() > 1 {
+                continue;
+            }
+            self.overdue(query, part);
+            self.extra(query, part, |hedger, rank, saturated| hedger.hedge(rank, saturated));
+        }
+    }
+
+    pub(super) fn overdue(&mut self, query: usize, part: usize) {
+        let at = &mut self.entries[self.queries[query].entry];
+        for call in &self.queries[query].parts[part].calls {
+            let record = &self.calls[*call];
+            if record.over {
+                continue;
+            }
+            let age_us = self.now_us - record.sent_us;
+            at.chooser.overdue(self.now_us, record.searcher as u16, age_us);
+        }
+    }
+
+    /// Cancels the calls of a part that are still out.
+    pub(super) fn give_up(&mut self, query: usize, part: usize) {
+        self.overdue(query, part);
+        for call in self.queries[query].parts[part].calls.clone() {
+            if self.calls[call].over {
+                continue;
+            }
+            self.calls[call].over = true;
+            let searcher = self.calls[call].searcher as u16;
+            self.entries[self.queries[query].entry].chooser.ended(searcher);
+            self.push(LINK_US, Event::Cancel(call));
+        }
+    }
+
+    pub(super) fn end(&mut self, query: usize, ending: Ending) {
+        if self.queries[query].ending != Ending::Open {
+            return;
+        }
+        self.queries[query].ending = ending;
+        for part in 0..self.queries[query].parts.len() {
+            self.give_up(query, part);
+        }
+    }
+}
--- a/tests/policy_slots.rs
+++ b/tests/policy_slots.rs
@@ -17,7 +17,7 @@
 }
 
 fn ticket(call: u64, rank: rank::Rank, deadline_us: u64) -> slots::Ticket {
-    slots::Ticket { call: ids::AttemptId(call), query: ids::QueryId(call), rank, deadline_us }
+    slots::Ticket { call: ids::AttemptId(call), rank, deadline_us }
 }
 
 /// Where each call stands, kept apart from what is tested.
