--- a/tests/policy_load.rs
+++ b/tests/policy_load.rs
@@ -128,7 +128,9 @@
     let load = [3.0, 0.3, 0.3];
     settled("urgent flood", &change(Policy::Plain, load));
     let setup = change(Policy::Full, load);
-    let seen = settled("urgent flood", &setup);
+    let runs = runs(&setup);
+    see("urgent flood, its start", &setup, &runs, CHANGE_US, CHANGE_US + SECOND_US / 2);
+    let seen = see("urgent flood", &setup, &runs, SETTLED_US, END_US);
     for rank in [Rank::Standard, Rank::Background] {
         let floor = f64::from(setup.floors_percent[rank.index()]) / 100.0;
         let got = seen[rank.index()].goodput;
--- a/tests/policy_slots.rs
+++ b/tests/policy_slots.rs
@@ -1,7 +1,7 @@
 //! The owner's side of the policy: slots, floors, refusals and shares.
 
 use quickcheck::quickcheck;
-use std::collections;
+use std::{collections, time};
 use tarragondoor::{admit, choose, ids, policy, rank, slots};
 
 const SERVICE_US: u64 = 10_000;
@@ -202,3 +202,25 @@
         }
     }
 }
+
+/// The time is printed, it decides nothing.
+#[test]
+fn an_owner_handles_a_call() {
+    let mut tested = slots::Slots::new(policy::Policy::Full, limits([20, 20, 10]));
+    let mut controller = admit::Controller::new(0, [20, 20, 10], SERVICE_US);
+    let start = time::Instant::now();
+    let rounds = 100_000_u64;
+    let mut started = 0;
+    for call in 0..rounds {
+        let now_us = call * SERVICE_US;
+        let rank = rank::Rank::ALL[(call % 3) as usize];
+        controller.offered(now_us, rank, 1.0);
+        let verdict = tested.offer(now_us, ticket(call, rank, now_us + 10 * SERVICE_US));
+        started += usize::from(verdict == slots::Verdict::Start);
+        tested.finish(now_us + 1, ids::AttemptId(call), SERVICE_US, slots::Outcome::Answered);
+        controller.answered(now_us + 1, rank, SERVICE_US);
+        controller.fractions(now_us + 1, tested.usable_slots(), tested.queued_by_rank());
+    }
+    println!("{:.2} us for each call", start.elapsed().as_secs_f64() * 1e6 / rounds as f64);
+    assert_eq!(started as u64, rounds);
+}
