--- a/src/member/probing.rs
+++ b/src/member/probing.rs
@@ -141,13 +141,11 @@
                 self.reprobe();
             }
         }
-        for _ in 0..self.config.gossip_fanout {
-            if self.updates.is_empty() {
-                return;
-            }
-            let Some(peer) = self.random_peer(|record| record.state.is_probed()) else {
-                return;
-            };
+        if self.updates.is_empty() {
+            return;
+        }
+        let me = self.me.name.clone();
+        for peer in self.random_peers(self.config.gossip_fanout, &me) {
             self.send(peer.peer_address, message::Kind::Gossip);
         }
     }
@@ -193,7 +191,7 @@
             let taken: Vec<ids::InstanceName> =
                 peers.iter().map(|record| record.name.clone()).collect();
             let peer = self.random_peer(|record| {
-                record.state.is_live() && record.name != *except && !taken.contains(&record.name)
+                record.state.is_probed() && record.name != *except && !taken.contains(&record.name)
             });
             peers.extend(peer);
         }
--- a/tests/seal.rs
+++ b/tests/seal.rs
@@ -50,7 +50,8 @@
     version[0] = 2;
     let other_key = sealer(key(2)).seal(b"body", NOW_MS);
     let skew_ms = seal::CLOCK_SKEW_MAX_MS;
-    let table: [(&str, &[u8], u64, Result<&[u8], SealError>); 8] = [
+    type Case<'a> = (&'a str, &'a [u8], u64, Result<&'a [u8], SealError>);
+    let table: [Case; 8] = [
         ("good", &good, NOW_MS, Ok(b"body")),
         ("late", &good, NOW_MS + skew_ms, Ok(b"body")),
         ("too late", &good, NOW_MS + skew_ms + 1, Err(SealError::Stale)),
@@ -88,8 +89,8 @@
         let expected = if index >= 72 { None } else { Some(SealError::Replayed) };
         assert_eq!(opened.err(), expected, "first time, {index}");
     }
-    for index in 72..100 {
-        assert!(opener.open(&datagrams[index], NOW_MS).is_ok(), "late but in the window, {index}");
+    for datagram in &datagrams[72..100] {
+        assert!(opener.open(datagram, NOW_MS).is_ok(), "late but in the window");
     }
     for datagram in &datagrams {
         assert_eq!(opener.open(datagram, NOW_MS), Err(SealError::Replayed));
