--- a/src/member/machine.rs
+++ b/src/member/machine.rs
@@ -198,6 +198,7 @@
 
     /// Takes over a record.
     pub(super) fn adopt(&mut self, now_ms: u64, record: member::Record) {
+        self.enter_round(&record);
         self.table.put(record.clone(), now_ms);
         self.emit(Event::Changed(record));
     }
--- a/src/member/probing.rs
+++ b/src/member/probing.rs
@@ -90,6 +90,18 @@
         self.round.shuffle(&mut self.rng);
     }
 
+    /// Puts a new or returned member at a random place of the running round.
+    pub(super) fn enter_round(&mut self, record: &member::Record) {
+        let was_probed = self.find(&record.name).is_some_and(|old| old.state.is_probed());
+        if was_probed || !record.state.is_probed() || record.name == self.me.name {
+            return;
+        }
+        if !self.round.contains(&record.name) {
+            let index = self.rng.random_range(0..=self.round.len());
+            self.round.insert(index, record.name.clone());
+        }
+    }
+
     fn ask_others(&mut self, mut probe: probe::Probe) {
         let Some(address) = self.find(&probe.target).map(|record| record.peer_address) else {
             return;
