Members: the accuser reminds the suspect until it refutes

Cause: with loss a suspect often did not hear of the suspicion in time. Also an answer of a leaving member did not end a suspicion of it. Change: whoever suspects a member on its own evidence pings it with the record every 250 ms; an ack of a leaving member ends its suspicion.

--- a/src/member/machine.rs
+++ b/src/member/machine.rs
@@ -40,8 +40,8 @@
     /// Until when Unreachable members are tried more often, since one came back.
     pub(super) eager_until_ms: u64,
     pub(super) superseded: bool,
-    /// The earliest end of a suspicion.
-    pub(super) suspicion_end_ms: u64,
+    /// When something is to be done about a suspicion.
+    pub(super) suspicion_due_ms: u64,
     pub(super) outputs: Vec<Output>,
 }
 
@@ -77,7 +77,7 @@
             next_join_ms: 0,
             eager_until_ms: 0,
             superseded: false,
-            suspicion_end_ms: u64::MAX,
+            suspicion_due_ms: u64::MAX,
             outputs: Vec::new(),
         };
         membership.table.put(me, 0);
--- a/src/member/probing.rs
+++ b/src/member/probing.rs
@@ -119,6 +119,7 @@
         if self.find(target).is_some_and(|record| record.state == member::State::Unreachable) {
             self.eager_until_ms = now_ms + EAGER_MS;
         }
+        self.clear_leaving(target);
         let Some(probe) = &self.probe else {
             return;
         };
@@ -135,6 +136,15 @@
         }
     }
 
+    /// A leaving member has no state for a suspicion, so its answer ends one.
+    fn clear_leaving(&mut self, target: &ids::InstanceName) {
+        if let Some(entry) = self.table.find_mut(target)
+            && entry.record.state == member::State::Leaving
+        {
+            entry.suspicion = None;
+        }
+    }
+
     /// A helper had no answer either, so this instance's own connection is not to blame.
     pub(super) fn refused(&mut self, sequence: u32) {
         if let Some(probe) = self.probe.as_mut().filter(|probe| probe.sequence == sequence) {
--- a/src/member/rumors.rs
+++ b/src/member/rumors.rs
@@ -8,6 +8,8 @@
 const VERDICT_AGE_MS: u64 = 2_000;
 /// How many rumors are checked in each gossip period.
 const RUMOR_CHECKS: usize = 4;
+/// Between two reminders of a suspicion to the suspect, in milliseconds.
+const REMIND_MS: u64 = 250;
 
 impl machine::Membership {
     /// Takes in a record that `from` sent.
@@ -51,7 +53,7 @@
         }
         self.adopt(now_ms, record);
         if suspected {
-            self.start_suspicion(now_ms, &name);
+            self.start_suspicion(now_ms, &name, None);
         }
     }
 
@@ -109,7 +111,7 @@
         if self.find(&name).is_some_and(|record| suspect > *record) {
             self.adopt(now_ms, suspect);
         }
-        self.start_suspicion(now_ms, &name);
+        self.start_suspicion(now_ms, &name, Some(now_ms + REMIND_MS));
         self.ping(rumor);
     }
 
@@ -131,18 +133,19 @@
             record.state = member::State::Suspect;
             self.publish(now_ms, record);
         }
-        self.start_suspicion(now_ms, name);
+        self.start_suspicion(now_ms, name, Some(now_ms));
     }
 
-    fn start_suspicion(&mut self, now_ms: u64, name: &ids::InstanceName) {
+    fn start_suspicion(&mut self, now_ms: u64, name: &ids::InstanceName, remind_ms: Option<u64>) {
         let duration_ms = self.suspicion_ms();
         let Some(entry) = self.table.find_mut(name) else {
             return;
         };
         if entry.suspicion.is_none() && entry.record.state.is_probed() {
             let end_ms = now_ms + duration_ms;
-            self.suspicion_end_ms = self.suspicion_end_ms.min(end_ms);
-            entry.suspicion = Some(table::Suspicion { start_ms: now_ms, end_ms });
+            let suspicion = table::Suspicion { start_ms: now_ms, end_ms, remind_ms };
+            entry.suspicion = Some(suspicion);
+            self.suspicion_due_ms = self.suspicion_due_ms.min(suspicion.due_ms());
         }
     }
 
@@ -153,20 +156,27 @@
     }
 
     pub(super) fn tick_suspicions(&mut self, now_ms: u64) {
-        if now_ms < self.suspicion_end_ms {
+        if now_ms < self.suspicion_due_ms {
             return;
         }
-        self.suspicion_end_ms = u64::MAX;
-        let mut over = Vec::new();
-        for entry in self.table.entries() {
-            let Some(suspicion) = entry.suspicion else {
+        self.suspicion_due_ms = u64::MAX;
+        let (mut over, mut reminded) = (Vec::new(), Vec::new());
+        for entry in self.table.entries_mut() {
+            let Some(suspicion) = &mut entry.suspicion else {
                 continue;
             };
             if suspicion.end_ms <= now_ms {
                 over.push(entry.record.clone());
                 continue;
             }
-            self.suspicion_end_ms = self.suspicion_end_ms.min(suspicion.end_ms);
+            if suspicion.remind_ms.is_some_and(|remind_ms| remind_ms <= now_ms) {
+                suspicion.remind_ms = Some(now_ms + REMIND_MS);
+                reminded.push(entry.record.clone());
+            }
+            self.suspicion_due_ms = self.suspicion_due_ms.min(suspicion.due_ms());
+        }
+        for record in reminded {
+            self.ping(record);
         }
         for mut record in over {
             record.state = member::State::Unreachable;
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -31,6 +31,15 @@
 pub(super) struct Suspicion {
     pub(super) start_ms: u64,
     pub(super) end_ms: u64,
+    /// When the member is told of it again; none if that is for others to do.
+    pub(super) remind_ms: Option<u64>,
+}
+
+impl Suspicion {
+    /// When something is to be done about it.
+    pub(super) fn due_ms(self) -> u64 {
+        self.remind_ms.map_or(self.end_ms, |remind_ms| remind_ms.min(self.end_ms))
+    }
 }
 
 #[derive(Debug)]
