Members: more retransmissions of an update in small fleets

Cause: at 30 % loss most false verdicts were at members that heard of a suspicion but not of its refutation: 4 transmissions of an update among 7. Change: 8 instead of 4 among up to 9 members, 12 instead of 8 up to 99, 16 instead of 12 above.

--- a/src/member/machine.rs
+++ b/src/member/machine.rs
@@ -209,7 +209,7 @@
 
     pub(super) fn retransmit_limit(&self) -> u32 {
         let members = self.table.entries().len() as u32;
-        self.config.retransmit_factor * (members.max(1).ilog10() + 1)
+        self.config.retransmit_factor * (members.max(1).ilog10() + 2)
     }
 
     pub(super) fn next_sequence(&mut self) -> u32 {
