Members: probe twice a second

Cause: among 7 members the detection of a killed one took up to 9.7 s, mostly the wait for the first probe.

--- a/src/member.rs
+++ b/src/member.rs
@@ -163,8 +163,8 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            probe_period_ms: 1_000,
-            probe_timeout_min_ms: 200,
+            probe_period_ms: 500,
+            probe_timeout_min_ms: 150,
             indirect_probes: 3,
             suspicion_ms: 3_000,
             gossip_period_ms: 200,
--- a/src/member/receive.rs
+++ b/src/member/receive.rs
@@ -127,7 +127,7 @@
             return;
         }
         let sequence = self.next_sequence();
-        let nack_ms = now_ms + self.config.probe_timeout_min_ms * 2;
+        let nack_ms = now_ms + self.config.probe_timeout_min_ms;
         let relay =
             probe::Relay { target: target.clone(), sequence, origin, origin_sequence, nack_ms };
         self.relays.push(relay);
