--- a/src/spread.rs
+++ b/src/spread.rs
@@ -173,7 +173,7 @@
         let pause_ms = now_ms.saturating_sub(self.now_ms);
         self.now_ms = self.now_ms.max(now_ms);
         let silence_ms = self.now_ms.saturating_sub(self.contact_ms);
-        let others = self.others().known;
+        let others = self.peers.may_serve(self.now_ms).next().is_some();
         if !self.readiness.must_doubt(pause_ms, silence_ms, others) {
             return;
         }
--- a/src/spread/peers.rs
+++ b/src/spread/peers.rs
@@ -65,7 +65,8 @@
         if peer.boot.is_some_and(|boot| boot > member.boot) {
             return;
         }
-        if member.state == api::MemberState::Unreachable {
+        let unreachable = Some(api::MemberState::Unreachable);
+        if Some(member.state) == unreachable && peer.state != unreachable {
             peer.heard_until_ms = 0;
         }
         peer.boot = Some(member.boot);
--- a/src/spread/readiness.rs
+++ b/src/spread/readiness.rs
@@ -80,11 +80,11 @@
     }
 
     /// Whether the time since the last step, or since the last contact, calls for a doubt.
-    pub(super) fn must_doubt(&self, pause_ms: u64, silence_ms: u64, others: usize) -> bool {
+    pub(super) fn must_doubt(&self, pause_ms: u64, silence_ms: u64, others: bool) -> bool {
         if pause_ms > PAUSE_MS {
             return true;
         }
-        self.standing == api::Standing::Fresh && others > 0 && silence_ms > SILENCE_MS
+        self.standing == api::Standing::Fresh && others && silence_ms > SILENCE_MS
     }
 
     /// Notes the standing of an instance that answered the survey.
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod layout;
 pub mod platform;
 pub mod searcher;
+pub mod spread_slopes;
 pub mod spread_world;
--- /dev/null
+++ b/standin/src/spread_slopes.rs
@@ -0,0 +1,126 @@
+//! What one change of the settings costs, by the number of instances.
+
+use crate::spread_world::{Told, Traffic, World};
+use serde::Serialize;
+use tarragondoor::document;
+use tarragondoor::operator_api::ConfirmReply;
+use tarragondoor::plan;
+use tarragondoor::settings;
+
+/// How long the instances get to start.
+const START_MS: u64 = 20_000;
+
+/// How long one change may take.
+const CHANGE_MS: u64 = 30_000;
+
+/// The cost of one change, the mean of several.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct ChangeCost {
+    /// The instances.
+    pub instances: usize,
+    /// From the confirmation to the last instance that has it in force.
+    pub in_force_ms: f64,
+    /// From the confirmation to the answer "accepted".
+    pub accepted_ms: f64,
+    /// Datagrams of all instances.
+    pub datagrams: f64,
+    /// Their bytes.
+    pub datagram_bytes: f64,
+    /// Documents asked for from instances.
+    pub fetches: f64,
+    /// Bytes of the documents.
+    pub fetch_bytes: f64,
+    /// Calls to the platform, besides those of an idle time of the same length.
+    pub platform_calls: f64,
+    /// Datagrams that the confirming instance sends at least: a query to each other.
+    pub collector_queries: usize,
+}
+
+/// Measures `changes` changes among `instances` over 2 regions; one service of `base` is changed by
+/// each. `None` if a change was not accepted in time.
+pub fn change_cost(
+    seed: u64,
+    instances: usize,
+    changes: u32,
+    base: &settings::Settings,
+) -> Option<ChangeCost> {
+    let mut world = World::new(seed, instances, 2);
+    world.run_for(START_MS);
+    let mut current = base.clone();
+    let mut sum = [0_u64; 7];
+    for change in 0..u64::from(changes) + 1 {
+        let index = change as usize % current.services.len();
+        current.services[index].limit_max = 10 + change as u16;
+        let document = document::Document::new(current.clone()).ok()?;
+        let measured = one_change(&mut world, change * 2, document)?;
+        // The first change brings the whole document to all, later ones a delta.
+        if change == 0 {
+            continue;
+        }
+        for (sum, value) in sum.iter_mut().zip(measured) {
+            *sum += value;
+        }
+    }
+    let mean = sum.map(|sum| sum as f64 / f64::from(changes));
+    Some(ChangeCost {
+        instances,
+        in_force_ms: mean[0],
+        accepted_ms: mean[1],
+        datagrams: mean[2],
+        datagram_bytes: mean[3],
+        fetches: mean[4],
+        fetch_bytes: mean[5],
+        platform_calls: mean[6],
+        collector_queries: instances - 1,
+    })
+}
+
+fn one_change(world: &mut World, ticket: u64, document: document::Document) -> Option<[u64; 7]> {
+    world.declare(0, ticket, document);
+    let until_ms = world.now_ms() + CHANGE_MS;
+    world.run_until(until_ms, |world| world.answer(ticket).is_some());
+    let Some(Told::Declared(Ok(plan))) = world.answer(ticket) else { return None };
+    let plan: plan::PlanId = plan.plan.parse().ok()?;
+    let begun_ms = world.now_ms();
+    let before = world.traffic;
+    world.confirm(0, ticket + 1, plan, CHANGE_MS);
+    let everywhere = |world: &World| world.all_have(plan.revision());
+    if !world.run_until(begun_ms + CHANGE_MS, everywhere) {
+        return None;
+    }
+    let in_force_ms = world.now_ms() - begun_ms;
+    world.run_until(begun_ms + CHANGE_MS, |world| world.answer(ticket + 1).is_some());
+    let accepted_ms = world.now_ms() - begun_ms;
+    let Some(Told::Confirmed(_, ConfirmReply::Accepted { .. })) = world.answer(ticket + 1) else {
+        return None;
+    };
+    let after = world.traffic;
+    let idle = idle_calls(world, accepted_ms);
+    Some(difference(in_force_ms, accepted_ms, before, after, idle))
+}
+
+fn idle_calls(world: &mut World, duration_ms: u64) -> u64 {
+    world.run_for(CHANGE_MS);
+    let before = world.traffic.platform_calls;
+    world.run_for(duration_ms);
+    world.traffic.platform_calls - before
+}
+
+fn difference(
+    in_force_ms: u64,
+    accepted_ms: u64,
+    before: Traffic,
+    after: Traffic,
+    idle_calls: u64,
+) -> [u64; 7] {
+    let platform_calls = after.platform_calls - before.platform_calls;
+    [
+        in_force_ms,
+        accepted_ms,
+        after.datagrams - before.datagrams,
+        after.datagram_bytes - before.datagram_bytes,
+        after.fetches - before.fetches,
+        after.fetch_bytes - before.fetch_bytes,
+        platform_calls.saturating_sub(idle_calls),
+    ]
+}
--- a/standin/src/spread_world.rs
+++ b/standin/src/spread_world.rs
@@ -5,8 +5,11 @@
 
 mod membership;
 mod outputs;
+mod report;
 mod store;
 
+pub use report::{Faults, Told, Traffic};
+
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand::rngs;
@@ -37,45 +40,6 @@
 /// Bytes of a datagram besides the message: sender, boot, seal.
 const DATAGRAM_OVERHEAD_BYTES: u64 = 60;
 
-/// The faults that are on.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Faults {
-    /// The platform does not carry out calls.
-    pub platform_down: bool,
-    /// The platform carries out calls and its answers are lost.
-    pub replies_lost: bool,
-    /// How much longer the platform takes.
-    pub platform_slow_ms: u64,
-    /// A region that has no contact with the others.
-    pub parted_region: Option<usize>,
-    /// How many datagrams of 100 are lost.
-    pub loss_percent: u8,
-}
-
-/// What an operator was told.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Told {
-    /// The answer to a declaration.
-    Declared(Result<operator_api::Plan, api::DeclareError>),
-    /// The answer to a confirmation.
-    Confirmed(plan::PlanId, operator_api::ConfirmReply),
-}
-
-/// What was sent.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Traffic {
-    /// Datagrams.
-    pub datagrams: u64,
-    /// Their bytes.
-    pub datagram_bytes: u64,
-    /// Documents asked for over links.
-    pub fetches: u64,
-    /// Bytes of the answers.
-    pub fetch_bytes: u64,
-    /// Calls to the platform.
-    pub platform_calls: u64,
-}
-
 #[derive(Debug)]
 struct Node {
     name: ids::InstanceName,
@@ -211,6 +175,12 @@
         self.nodes[node].spread.as_ref().map_or(ids::Revision(0), spread::Spread::revision)
     }
 
+    /// Whether all running instances have this revision in force.
+    pub fn all_have(&self, revision: ids::Revision) -> bool {
+        let mut spreads = self.nodes.iter().filter_map(|node| node.spread.as_ref());
+        spreads.all(|spread| spread.revision() >= revision)
+    }
+
     /// The plans that were committed, in order.
     pub fn committed(&self) -> &[spread::root::Committed] {
         &self.store.committed
@@ -385,6 +355,9 @@
     }
 
     fn reachable(&self, from: usize, to: usize) -> bool {
+        if self.faults.cut == Some((from.min(to), from.max(to))) {
+            return false;
+        }
         let Some(parted) = self.faults.parted_region else { return true };
         (self.nodes[from].region == parted) == (self.nodes[to].region == parted)
     }
--- a/standin/tests/spread.rs
+++ b/standin/tests/spread.rs
@@ -178,6 +178,18 @@
         world.run_for(2_000);
         vec![first, waking, state(world)]
     }),
+    ("an instance starts that the confirming one can't reach", |world| {
+        world.kill(3);
+        let before = changed(world, 0, 10);
+        let plan = declared(world, 0, 20);
+        world.faults.cut = Some((0, 3));
+        world.start(3);
+        let until_ms = world.now_ms() + 1_900;
+        let serves = world.run_until(until_ms, |world| world.serves(3));
+        let first = confirmed(world, 0, 21, plan, 1_000);
+        world.faults = Faults::default();
+        vec![before, format!("serves {serves}"), first, confirmed(world, 0, 22, plan, 8_000)]
+    }),
     ("an instance is killed, the list drops it later", |world| {
         let plan = declared(world, 0, 10);
         world.kill(3);
@@ -278,9 +290,10 @@
     Pause,
     ShortPause,
     PauseUnlisted,
+    Cut,
 }
 
-const FAULTS: [Fault; 10] = [
+const FAULTS: [Fault; 11] = [
     Fault::PlatformDown,
     Fault::RepliesLost,
     Fault::PlatformSlow,
@@ -291,6 +304,7 @@
     Fault::Pause,
     Fault::ShortPause,
     Fault::PauseUnlisted,
+    Fault::Cut,
 ];
 
 fn strike(world: &mut World, rng: &mut rngs::StdRng, fault: Fault) {
@@ -301,6 +315,7 @@
         Fault::PlatformSlow => world.faults.platform_slow_ms = rng.random_range(100..4_000),
         Fault::Parted => world.faults.parted_region = Some(rng.random_range(0..3)),
         Fault::Loss => world.faults.loss_percent = rng.random_range(10..80),
+        Fault::Cut => world.faults.cut = Some((node, rng.random_range(node..world.len()))),
         Fault::Restart => {
             world.kill(node);
             world.start(node);
