Spread: golden session

Four machines start, take two changes, and one starts again. The session shows two things to mend next: an instance announces itself to the first other that it knows, before it has the platform's list; and an acceptance waits 500 ms for the next round of queries when an instance was asked before it had applied.

--- a/standin/src/spread_world.rs
+++ b/standin/src/spread_world.rs
@@ -87,6 +87,8 @@
     pub violations: Vec<String>,
     /// What was sent.
     pub traffic: Traffic,
+    /// Every output of every machine, one a line, once it is set.
+    pub log: Option<Vec<String>>,
     rng: rngs::StdRng,
     now_ms: u64,
     sequence: u64,
@@ -107,6 +109,7 @@
             told: Vec::new(),
             violations: Vec::new(),
             traffic: Traffic::default(),
+            log: None,
             rng: rngs::StdRng::seed_from_u64(seed),
             now_ms: 1_000,
             sequence: 0,
--- a/standin/src/spread_world/outputs.rs
+++ b/standin/src/spread_world/outputs.rs
@@ -10,6 +10,9 @@
 impl World {
     pub(super) fn output(&mut self, node: usize, output: api::Output) {
         let boot = self.nodes[node].boot;
+        if let Some(log) = &mut self.log {
+            log.push(format!("{:>6} ms {} {}", self.now_ms, self.nodes[node].name, line(&output)));
+        }
         match output {
             api::Output::Send { to, message } => self.send(node, &to, message),
             api::Output::Fetch { request, to, call } => {
@@ -151,3 +154,54 @@
         self.told.push((ticket, Told::Confirmed(plan, reply)));
     }
 }
+
+fn line(output: &api::Output) -> String {
+    match output {
+        api::Output::Send { to, message } => format!("-> {to}: {}", message_line(message)),
+        api::Output::Fetch { to, call, .. } => {
+            format!("-> {to}: fetch, a base {}", call.base.is_some())
+        }
+        api::Output::FetchAnswer { reply, .. } => match reply {
+            api::FetchReply::Delta(delta) => format!("answers: delta of {}", delta.changed.len()),
+            api::FetchReply::Whole(_) => "answers: whole document".to_string(),
+            api::FetchReply::Missing => "answers: missing".to_string(),
+        },
+        api::Output::Platform { call, .. } => format!("-> platform: {}", call_line(call)),
+        api::Output::Apply { revision, .. } => format!("revision {revision} in force"),
+        api::Output::Readiness { ready } => format!("ready {ready}"),
+        api::Output::Declared { result, .. } => match result {
+            Ok(plan) => format!("plan from {}: {}", plan.base_revision, plan.changes.join("; ")),
+            Err(error) => error.to_string(),
+        },
+        api::Output::Confirmed { reply, .. } => format!("{reply:?}"),
+        api::Output::Contradiction { known, said } => format!("known {known:?}, said {said:?}"),
+    }
+}
+
+fn message_line(message: &api::Message) -> String {
+    let revision = |version: &Option<api::Version>| {
+        version.map_or(ids::Revision(0), |version| version.revision)
+    };
+    match message {
+        api::Message::Push { version } => format!("push {}", version.revision),
+        api::Message::Query { version, standing, .. } => {
+            format!("query, {} {standing}", revision(version))
+        }
+        api::Message::Said { version, standing, starters, .. } => {
+            let starters: Vec<&str> = starters.iter().map(|s| s.instance.as_str()).collect();
+            format!("said {} {standing}, starters {}", revision(version), starters.join(" "))
+        }
+    }
+}
+
+fn call_line(call: &api::PlatformCall) -> String {
+    let name = |key: &api::Key| match key {
+        api::Key::Root => "root",
+        api::Key::Document(_) => "document",
+    };
+    match call {
+        api::PlatformCall::Get(key) => format!("get {}", name(key)),
+        api::PlatformCall::Put { key, expected, .. } => format!("put {} at {expected}", name(key)),
+        api::PlatformCall::Watch { after, .. } => format!("watch root after {after}"),
+    }
+}
--- a/standin/tests/spread.rs
+++ b/standin/tests/spread.rs
@@ -278,6 +278,24 @@
     insta::assert_snapshot!(text);
 }
 
+#[test]
+fn golden_session() {
+    let mut world = World::new(7, 4, 2);
+    world.log = Some(Vec::new());
+    world.run_for(4_000);
+    let first = changed(&mut world, 0, 10);
+    let second = changed(&mut world, 1, 20);
+    world.kill(2);
+    world.start(2);
+    world.run_for(3_000);
+    let log = world.log.take().unwrap_or_default();
+    let mut text = String::new();
+    for line in log.iter().filter(|line| !line.contains("watch root")) {
+        let _ = writeln!(text, "{line}");
+    }
+    insta::assert_snapshot!(format!("{first}\n{second}\n{text}"));
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Fault {
     PlatformDown,
