--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod layout;
 pub mod platform;
 pub mod searcher;
+pub mod spread_slopes;
 pub mod spread_world;
