Metrics and a span for each hop on the running path

Cause: both were parts without wiring. A request without a trace context is recorded once in 1,000; one with a sampled context always. Not measured.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -9,6 +9,7 @@
 use crate::home;
 use crate::ids;
 use crate::link;
+use crate::metrics;
 use crate::owner;
 use crate::peer_api;
 use crate::peers;
@@ -58,6 +59,8 @@
     pub traffics: traffic::Traffics,
     /// The policy.
     pub policy: policy::Policy,
+    /// The metrics.
+    pub metrics: metrics::Metrics,
     /// Whether requests are taken.
     pub gate: gate::Gate,
     /// When the process started.
@@ -101,6 +104,37 @@
         self.gate.is_idle() && self.home.open_count() == 0 && self.owner.is_idle()
     }
 
+    /// Sets the metrics that show a state.
+    pub fn measure(&self) {
+        let view = self.gossip.view();
+        self.metrics.set_members(view.members.iter().map(|record| record.state));
+        let known = self.spreader.known();
+        self.metrics.set_revisions(known.in_force, known.newest);
+        let sizes = self.home.sizes();
+        self.metrics.set_ledger(sizes.record_count, sizes.open_count);
+        self.metrics.set_connections(metrics::Peer::Instance, self.links.up_count());
+        let mut open = 0;
+        for owned in self.owner.all() {
+            open += owned.open_connections();
+        }
+        self.metrics.set_connections(metrics::Peer::Searcher, open);
+        self.measure_traffic();
+    }
+
+    fn measure_traffic(&self) {
+        let gossip = self.gossip.stats();
+        let links = self.links.traffic();
+        for (channel, direction, bytes) in [
+            (metrics::Channel::Gossip, metrics::Direction::Sent, &gossip.sent_bytes),
+            (metrics::Channel::Gossip, metrics::Direction::Received, &gossip.received_bytes),
+            (metrics::Channel::Link, metrics::Direction::Sent, &links.sent_bytes),
+            (metrics::Channel::Link, metrics::Direction::Received, &links.received_bytes),
+        ] {
+            let total_bytes = bytes.load(sync::atomic::Ordering::Relaxed);
+            self.metrics.set_traffic(channel, direction, total_bytes);
+        }
+    }
+
     /// Takes in reports on searchers.
     pub fn merge_reports(&self, reports: Vec<peer_api::SearcherReport>) {
         self.holdings.rcu(|known| {
--- a/src/home.rs
+++ b/src/home.rs
@@ -10,9 +10,11 @@
 use crate::peer_api;
 use crate::peers;
 use crate::rank;
+use crate::trace;
 use compact_str::CompactString;
 use std::sync;
 use std::time;
+use tracing::Instrument as _;
 
 /// How much longer than the caller's time another instance waits for the home.
 const FORWARD_SLACK: time::Duration = time::Duration::from_millis(250);
@@ -31,6 +33,15 @@
     running: sync::Mutex<Vec<Running>>,
 }
 
+/// How much a ledger holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sizes {
+    /// Keys that are remembered.
+    pub record_count: usize,
+    /// Of these, requests that are neither settled nor lost.
+    pub open_count: usize,
+}
+
 /// How a call gets its answer.
 enum Step {
     Answer(ledger::Verdict),
@@ -56,6 +67,12 @@
         self.running.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// How many requests the ledger knows, and how many of them are not settled.
+    pub fn sizes(&self) -> Sizes {
+        let ledger = self.ledger();
+        Sizes { record_count: ledger.record_count(), open_count: ledger.open_count() }
+    }
+
     /// How many requests are being run.
     pub fn open_count(&self) -> usize {
         self.running().len()
@@ -189,10 +206,14 @@
                 // A task of its own: a caller that hangs up must not cut the request half way.
                 let node = self.clone();
                 let key = key.clone();
-                tokio::spawn(async move {
+                let context = trace::below(&traceparent);
+                let span = trace::span(trace::Hop::Home, &context);
+                let traceparent = context.to_string().into();
+                let driving = async move {
                     node.drive(&key, &call, &traceparent).await;
                     node.home.settled(&key, &sender);
-                });
+                };
+                tokio::spawn(driving.instrument(span));
                 receiver
             }
         };
--- a/src/http.rs
+++ b/src/http.rs
@@ -3,17 +3,23 @@
 use crate::caller_api;
 use crate::entry;
 use crate::ids;
+use crate::metrics;
 use crate::operators;
+use crate::trace;
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use std::net;
 use std::sync;
+use std::time;
+use tracing::Instrument as _;
 use volo_http::body::Body;
 use volo_http::request;
 use volo_http::response;
 use volo_http::server::route;
 use volo_http::utils;
 
+const JSON: &str = "application/json";
+
 /// What the handlers share.
 pub type Shared = utils::Extension<sync::Arc<App>>;
 
@@ -33,7 +39,8 @@
         .route("/v1/addresses", route::get(addresses))
         .route("/v1/search", route::post(search))
         .route("/v1/run", route::post(run))
-        .route("/v1/health", route::get(health));
+        .route("/v1/health", route::get(health))
+        .route("/metrics", route::get(show_metrics));
     operators::routes(router).layer(utils::Extension(app))
 }
 
@@ -50,34 +57,76 @@
 }
 
 async fn search(utils::Extension(app): Shared, request: request::Request) -> response::Response {
-    let traceparent = traceparent(&request);
+    let context = context(&request);
+    let span = trace::span(trace::Hop::Entry, &context);
+    answer_search(&app, request, context).instrument(span).await
+}
+
+async fn answer_search(
+    app: &App,
+    request: request::Request,
+    context: trace::TraceContext,
+) -> response::Response {
     let _open = app.node.gate.enter();
     if let Err(error) = app.node.may_serve() {
         return refused(&error);
     }
-    let call = match body(request, caller_api::BODY_MAX_BYTES).await {
+    let call: caller_api::SearchCall = match body(request, caller_api::BODY_MAX_BYTES).await {
         Ok(call) => call,
         Err(error) => return refused(&error),
     };
-    match app.node.search(call, traceparent).await {
-        Ok(answer) => json(http::StatusCode::OK, &answer),
-        Err(error) => refused(&error),
+    let started = time::Instant::now();
+    let rank = call.rank;
+    match app.node.search(call, context.to_string().into()).await {
+        Ok(answer) => {
+            let latency = started.elapsed();
+            app.node.metrics.searched(rank, latency, &answer.coverage, &answer.effort);
+            json(http::StatusCode::OK, &answer)
+        }
+        Err(error) => {
+            app.node.metrics.refused(rank, error.code);
+            refused(&error)
+        }
     }
 }
 
 async fn run(utils::Extension(app): Shared, request: request::Request) -> response::Response {
-    let traceparent = traceparent(&request);
+    let context = context(&request);
+    let span = trace::span(trace::Hop::Entry, &context);
+    answer_run(&app, request, context).instrument(span).await
+}
+
+async fn answer_run(
+    app: &App,
+    request: request::Request,
+    context: trace::TraceContext,
+) -> response::Response {
     let _open = app.node.gate.enter();
     if let Err(error) = app.node.may_serve() {
         return refused(&error);
     }
-    let call = match body(request, caller_api::BODY_MAX_BYTES).await {
+    let call: caller_api::RunCall = match body(request, caller_api::BODY_MAX_BYTES).await {
         Ok(call) => call,
         Err(error) => return refused(&error),
     };
-    match app.node.run(call, traceparent).await {
-        Ok(answer) => json(http::StatusCode::OK, &answer),
-        Err(error) => refused(&error),
+    let rank = call.rank;
+    match app.node.run(call, context.to_string().into()).await {
+        Ok(answer) => {
+            app.node.metrics.ran(answer.outcome);
+            json(http::StatusCode::OK, &answer)
+        }
+        Err(error) => {
+            app.node.metrics.refused(rank, error.code);
+            refused(&error)
+        }
+    }
+}
+
+async fn show_metrics(utils::Extension(app): Shared) -> response::Response {
+    app.node.measure();
+    match app.node.metrics.render() {
+        Ok(text) => plain(http::StatusCode::OK, metrics::CONTENT_TYPE, Bytes::from(text)),
+        Err(error) => refused(&entry::refuse(caller_api::ErrorCode::Internal, error.to_string())),
     }
 }
 
@@ -115,12 +164,10 @@
     })
 }
 
-/// The W3C trace context of a request; empty if there is none.
-fn traceparent(request: &request::Request) -> compact_str::CompactString {
-    match request.headers().get("traceparent").map(http::HeaderValue::to_str) {
-        Some(Ok(text)) => text.into(),
-        _ => compact_str::CompactString::default(),
-    }
+/// The trace context of a request.
+pub(crate) fn context(request: &request::Request) -> trace::TraceContext {
+    let header = request.headers().get(trace::TRACEPARENT);
+    trace::of_request(header.and_then(|value| value.to_str().ok()))
 }
 
 /// A request's body, read up to the limit and parsed.
@@ -156,16 +203,16 @@
         Ok(bytes) => Bytes::from(bytes),
         Err(error) => {
             tracing::error!(%error, "answer can't be written");
-            return plain(http::StatusCode::INTERNAL_SERVER_ERROR, Bytes::new());
+            return plain(http::StatusCode::INTERNAL_SERVER_ERROR, JSON, Bytes::new());
         }
     };
-    plain(status, bytes)
+    plain(status, JSON, bytes)
 }
 
-fn plain(status: http::StatusCode, bytes: Bytes) -> response::Response {
+fn plain(status: http::StatusCode, content_type: &'static str, bytes: Bytes) -> response::Response {
     let mut response = response::Response::new(Body::from(bytes));
     *response.status_mut() = status;
-    let kind = http::HeaderValue::from_static("application/json");
+    let kind = http::HeaderValue::from_static(content_type);
     response.headers_mut().insert(http::header::CONTENT_TYPE, kind);
     response
 }
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -12,6 +12,7 @@
 use crate::ids;
 use crate::link;
 use crate::member;
+use crate::metrics;
 use crate::owner;
 use crate::seal;
 use crate::serve;
@@ -106,6 +107,7 @@
         spreader,
         traffics: traffic::Traffics::default(),
         policy: config.policy,
+        metrics: metrics::Metrics::new(),
         gate: gate::Gate::default(),
         started: time::Instant::now(),
     });
--- a/src/link.rs
+++ b/src/link.rs
@@ -83,8 +83,18 @@
     task: tokio::task::JoinHandle<()>,
 }
 
+/// What went over all links; the counts only grow.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    /// Bytes sent.
+    pub sent_bytes: sync::atomic::AtomicU64,
+    /// Bytes received.
+    pub received_bytes: sync::atomic::AtomicU64,
+}
+
 /// The links of this instance.
 pub struct Links {
+    traffic: Traffic,
     me: ids::InstanceName,
     boot: ids::BootId,
     key: [u8; seal::KEY_BYTES],
@@ -108,6 +118,7 @@
             boot,
             key: key.derive(KEY_CONTEXT),
             attempts,
+            traffic: Traffic::default(),
             up: sync::RwLock::default(),
             dialling: sync::Mutex::default(),
             accepted: sync::Mutex::default(),
@@ -171,6 +182,11 @@
         find(&up, peer).map(|link| link.boot)
     }
 
+    /// What went over all links.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
     /// How many dialled links are up.
     pub fn up_count(&self) -> usize {
         read(&self.up).len()
@@ -277,15 +293,16 @@
         self.up(link);
         let (reader, writer) = stream.into_split();
         let mut shaken = shaken;
-        let writing = write_frames(writer, shaken.outgoing, receiver);
-        let reading = read_frames(reader, &mut shaken.incoming, |frame| match frame {
-            peer_api::Frame::Shard(reply) => {
-                self.attempts.resolve(reply);
-            }
-            peer_api::Frame::Reports(reports) => serve.reported(reports),
-            peer_api::Frame::Reply { id, reply } => answer(&pending, id, reply),
-            _ => {}
-        });
+        let writing = write_frames(writer, shaken.outgoing, receiver, &self.traffic);
+        let reading =
+            read_frames(reader, &mut shaken.incoming, &self.traffic, |frame| match frame {
+                peer_api::Frame::Shard(reply) => {
+                    self.attempts.resolve(reply);
+                }
+                peer_api::Frame::Reports(reports) => serve.reported(reports),
+                peer_api::Frame::Reply { id, reply } => answer(&pending, id, reply),
+                _ => {}
+            });
         tokio::select! {
             ended = reading => ended,
             ended = writing => ended,
@@ -306,8 +323,8 @@
         lock(&self.accepted).push(sender.clone());
         serve.opened(&peer, &sender);
         let (reader, writer) = stream.into_split();
-        let writing = write_frames(writer, shaken.outgoing, receiver);
-        let reading = read_frames(reader, &mut shaken.incoming, |frame| {
+        let writing = write_frames(writer, shaken.outgoing, receiver, &self.traffic);
+        let reading = read_frames(reader, &mut shaken.incoming, &self.traffic, |frame| {
             serve.asked(&peer, frame, &sender);
         });
         let ended = tokio::select! {
@@ -398,6 +415,7 @@
     mut stream: tokio::net::tcp::OwnedWriteHalf,
     mut codec: frame::Codec,
     mut receiver: tokio::sync::mpsc::Receiver<peer_api::Frame>,
+    traffic: &Traffic,
 ) -> Result<(), frame::FrameError> {
     let mut buffer = Vec::new();
     loop {
@@ -417,18 +435,21 @@
         }
         let written = tokio::time::timeout(SILENCE_MAX, frame::write(&mut stream, &buffer)).await;
         written.map_err(|_| timed_out())??;
+        traffic.sent_bytes.fetch_add(buffer.len() as u64, sync::atomic::Ordering::Relaxed);
     }
 }
 
 async fn read_frames(
     stream: tokio::net::tcp::OwnedReadHalf,
     codec: &mut frame::Codec,
+    traffic: &Traffic,
     mut take: impl FnMut(peer_api::Frame),
 ) -> Result<(), frame::FrameError> {
     let mut stream = tokio::io::BufReader::with_capacity(WRITE_BATCH_BYTES, stream);
     loop {
         let reading = frame::read(&mut stream, frame::FRAME_MAX_BYTES);
         let rest = tokio::time::timeout(SILENCE_MAX, reading).await.map_err(|_| timed_out())??;
+        traffic.received_bytes.fetch_add(rest.len() as u64, sync::atomic::Ordering::Relaxed);
         take(codec.decode(&rest)?);
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -264,10 +264,11 @@
         self.revision_newest.set(saturate(newest.0));
     }
 
-    /// Counts traffic.
-    pub fn add_traffic(&self, channel: Channel, direction: Direction, bytes: u64) {
+    /// Takes how many bytes there have been in all; the count never goes down.
+    pub fn set_traffic(&self, channel: Channel, direction: Direction, total_bytes: u64) {
         let labels = TrafficLabels { channel: channel.into(), direction: direction.into() };
-        self.traffic.get_or_create(&labels).inc_by(bytes);
+        let counter = self.traffic.get_or_create(&labels);
+        counter.inc_by(total_bytes.saturating_sub(counter.get()));
     }
 
     /// All metrics as text.
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -10,7 +10,9 @@
 use crate::plan;
 use crate::spread::api;
 use crate::spreader;
+use crate::trace;
 use std::sync;
+use tracing::Instrument as _;
 use volo_http::request;
 use volo_http::response;
 use volo_http::server::route;
@@ -34,7 +36,13 @@
     utils::Extension(app): http::Shared,
     request: request::Request,
 ) -> response::Response {
-    if let Err(error) = authorize(&app, &request) {
+    let context = http::context(&request);
+    let span = trace::span(trace::Hop::Operator, &context);
+    answer_declare(&app, request).instrument(span).await
+}
+
+async fn answer_declare(app: &http::App, request: request::Request) -> response::Response {
+    if let Err(error) = authorize(app, &request) {
         return http::refused(&error);
     }
     let call: operator_api::DeclareCall = match http::body(request, DECLARATION_MAX_BYTES).await {
@@ -72,7 +80,13 @@
     utils::Extension(app): http::Shared,
     request: request::Request,
 ) -> response::Response {
-    if let Err(error) = authorize(&app, &request) {
+    let context = http::context(&request);
+    let span = trace::span(trace::Hop::Operator, &context);
+    answer_confirm(&app, request).instrument(span).await
+}
+
+async fn answer_confirm(app: &http::App, request: request::Request) -> response::Response {
+    if let Err(error) = authorize(app, &request) {
         return http::refused(&error);
     }
     let limit = caller_api::BODY_MAX_BYTES;
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -7,8 +7,10 @@
 use crate::peers;
 use crate::searcher;
 use crate::searcher_api;
+use crate::trace;
 use std::sync;
 use std::time;
+use tracing::Instrument as _;
 
 /// How often an owned searcher is asked for its status.
 pub const PROBE_PERIOD: time::Duration = time::Duration::from_millis(500);
@@ -146,7 +148,6 @@
             };
             let want = searcher::Want {
                 attempt: call.attempt,
-                query: search.query_id,
                 rank: search.rank,
                 weight: search.weight,
                 deadline,
@@ -162,11 +163,14 @@
                 timeout_ms: search.timeout_ms,
             };
             let owner = self.clone();
-            let traceparent = search.traceparent.clone();
+            let context = trace::below(&search.traceparent);
+            let span = trace::span(trace::Hop::Owner, &context);
+            let traceparent = context.to_string().into();
             let reply_to = reply_to.clone();
-            tokio::spawn(async move {
+            let calling = async move {
                 owner.search_one(&owned, want, request, traceparent, &reply_to).await;
-            });
+            };
+            tokio::spawn(calling.instrument(span));
         }
     }
 
@@ -214,12 +218,14 @@
         };
         let want = searcher::Want {
             attempt: run.attempt,
-            query: ids::QueryId(run.attempt.0),
             rank: run.rank,
             weight: 1.0,
             deadline: deadline(run.timeout_ms),
         };
-        owned.run(want, run).await
+        let context = trace::below(&run.traceparent);
+        let span = trace::span(trace::Hop::Owner, &context);
+        let run = peer_api::OwnerRun { traceparent: context.to_string().into(), ..run };
+        owned.run(want, run).instrument(span).await
     }
 
     /// Asks each owned searcher for its status. Returns the reports that have changed.
--- a/src/searcher.rs
+++ b/src/searcher.rs
@@ -10,8 +10,10 @@
 use crate::searcher_api;
 use crate::slots;
 use crate::snapshot;
+use crate::trace;
 use std::sync;
 use std::time;
+use tracing::Instrument as _;
 
 /// How long a status may take.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
@@ -71,8 +73,6 @@
 pub struct Want {
     /// The attempt.
     pub attempt: ids::AttemptId,
-    /// The query it belongs to.
-    pub query: ids::QueryId,
     /// The urgency.
     pub rank: rank::Rank,
     /// How many offered calls it stands for.
@@ -288,7 +288,6 @@
         let left = want.deadline.saturating_duration_since(tokio::time::Instant::now());
         let ticket = slots::Ticket {
             call: want.attempt,
-            query: want.query,
             rank: want.rank,
             deadline_us: now_us + left.as_micros() as u64,
         };
@@ -336,8 +335,11 @@
     ) -> Result<connection::Answer, peer_api::Failure> {
         let mut call =
             connection::Call::json(http::Method::POST, path, request).map_err(failure)?;
-        call.traceparent = traceparent;
-        let answer = self.connections.send(call, timeout).await.map_err(failure)?;
+        let context = trace::below(&traceparent);
+        call.traceparent = context.to_string().into();
+        let span = trace::span(trace::Hop::Searcher, &context);
+        let sending = self.connections.send(call, timeout).instrument(span);
+        let answer = sending.await.map_err(failure)?;
         match answer.status {
             http::StatusCode::OK => Ok(answer),
             http::StatusCode::SERVICE_UNAVAILABLE => {
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -160,8 +160,30 @@
     Operator,
 }
 
-/// Opens the span of a hop: `hop`, `trace_id`, `span_id`, and `parent_id` where there is one.
+/// One in this many requests that come without a trace is recorded.
+pub const SAMPLE_ONE_IN: u32 = 1_000;
+
+/// The context of a caller's request: below the sender's span, or a new trace of which some are
+/// recorded.
+pub fn of_request(header: Option<&str>) -> TraceContext {
+    let received = TraceContext::receive(header, rand::random(), rand::random());
+    if received.parent_id.is_some() {
+        return received;
+    }
+    TraceContext { sampled: rand::random_ratio(1, SAMPLE_ONE_IN), ..received }
+}
+
+/// The context of a hop below the one that sent `header`.
+pub fn below(header: &str) -> TraceContext {
+    TraceContext::receive(Some(header), rand::random(), rand::random())
+}
+
+/// Opens the span of a hop: `hop`, `trace_id`, `span_id`, and `parent_id` where there is one. It is
+/// empty for a trace that is not recorded.
 pub fn span(hop: Hop, context: &TraceContext) -> tracing::Span {
+    if !context.sampled {
+        return tracing::Span::none();
+    }
     let span = tracing::info_span!(
         "hop",
         hop = %hop,
