--- a/src/member/machine.rs
+++ b/src/member/machine.rs
@@ -40,8 +40,8 @@
     /// Until when Unreachable members are tried more often, since one came back.
     pub(super) eager_until_ms: u64,
     pub(super) superseded: bool,
-    /// The earliest end of a suspicion.
-    pub(super) suspicion_end_ms: u64,
+    /// When something is to be done about a suspicion.
+    pub(super) suspicion_due_ms: u64,
     pub(super) outputs: Vec<Output>,
 }
 
@@ -77,7 +77,7 @@
             next_join_ms: 0,
             eager_until_ms: 0,
             superseded: false,
-            suspicion_end_ms: u64::MAX,
+            suspicion_due_ms: u64::MAX,
             outputs: Vec::new(),
         };
         membership.table.put(me, 0);
@@ -198,6 +198,7 @@
 
     /// Takes over a record.
     pub(super) fn adopt(&mut self, now_ms: u64, record: member::Record) {
+        self.enter_round(&record);
         self.table.put(record.clone(), now_ms);
         self.emit(Event::Changed(record));
     }
@@ -208,7 +209,7 @@
 
     pub(super) fn retransmit_limit(&self) -> u32 {
         let members = self.table.entries().len() as u32;
-        self.config.retransmit_factor * (members.max(1).ilog10() + 1)
+        self.config.retransmit_factor * (members.max(1).ilog10() + 2)
     }
 
     pub(super) fn next_sequence(&mut self) -> u32 {
--- a/src/member/probing.rs
+++ b/src/member/probing.rs
@@ -90,6 +90,18 @@
         self.round.shuffle(&mut self.rng);
     }
 
+    /// Puts a new or returned member at a random place of the running round.
+    pub(super) fn enter_round(&mut self, record: &member::Record) {
+        let was_probed = self.find(&record.name).is_some_and(|old| old.state.is_probed());
+        if was_probed || !record.state.is_probed() || record.name == self.me.name {
+            return;
+        }
+        if !self.round.contains(&record.name) {
+            let index = self.rng.random_range(0..=self.round.len());
+            self.round.insert(index, record.name.clone());
+        }
+    }
+
     fn ask_others(&mut self, mut probe: probe::Probe) {
         let Some(address) = self.find(&probe.target).map(|record| record.peer_address) else {
             return;
@@ -107,6 +119,7 @@
         if self.find(target).is_some_and(|record| record.state == member::State::Unreachable) {
             self.eager_until_ms = now_ms + EAGER_MS;
         }
+        self.clear_leaving(target);
         let Some(probe) = &self.probe else {
             return;
         };
@@ -123,6 +136,15 @@
         }
     }
 
+    /// A leaving member has no state for a suspicion, so its answer ends one.
+    fn clear_leaving(&mut self, target: &ids::InstanceName) {
+        if let Some(entry) = self.table.find_mut(target)
+            && entry.record.state == member::State::Leaving
+        {
+            entry.suspicion = None;
+        }
+    }
+
     /// A helper had no answer either, so this instance's own connection is not to blame.
     pub(super) fn refused(&mut self, sequence: u32) {
         if let Some(probe) = self.probe.as_mut().filter(|probe| probe.sequence == sequence) {
@@ -141,13 +163,11 @@
                 self.reprobe();
             }
         }
-        for _ in 0..self.config.gossip_fanout {
-            if self.updates.is_empty() {
-                return;
-            }
-            let Some(peer) = self.random_peer(|record| record.state.is_probed()) else {
-                return;
-            };
+        if self.updates.is_empty() {
+            return;
+        }
+        let me = self.me.name.clone();
+        for peer in self.random_peers(self.config.gossip_fanout, &me) {
             self.send(peer.peer_address, message::Kind::Gossip);
         }
     }
@@ -193,7 +213,7 @@
             let taken: Vec<ids::InstanceName> =
                 peers.iter().map(|record| record.name.clone()).collect();
             let peer = self.random_peer(|record| {
-                record.state.is_live() && record.name != *except && !taken.contains(&record.name)
+                record.state.is_probed() && record.name != *except && !taken.contains(&record.name)
             });
             peers.extend(peer);
         }
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -85,6 +85,7 @@
     requests: u64,
     readiness: readiness::Readiness,
     operations: Vec<operation::Operation>,
+    owed: Vec<(ids::InstanceName, u64)>,
     out: Vec<Output>,
 }
 
@@ -108,6 +109,7 @@
             requests: 0,
             readiness,
             operations: Vec::new(),
+            owed: Vec::new(),
             out: Vec::new(),
         }
     }
@@ -173,7 +175,7 @@
         let pause_ms = now_ms.saturating_sub(self.now_ms);
         self.now_ms = self.now_ms.max(now_ms);
         let silence_ms = self.now_ms.saturating_sub(self.contact_ms);
-        let others = self.others().known;
+        let others = self.peers.may_serve(self.now_ms).next().is_some();
         if !self.readiness.must_doubt(pause_ms, silence_ms, others) {
             return;
         }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,9 +5,11 @@
 
 pub mod client;
 pub mod corpus;
+pub mod demo;
 pub mod fleet;
 pub mod http;
 pub mod layout;
 pub mod platform;
 pub mod searcher;
+pub mod spread_slopes;
 pub mod spread_world;
