--- a/standin/src/searcher/config.rs
+++ b/standin/src/searcher/config.rs
@@ -105,7 +105,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Kill {
-    /// After how long it listens again at the same address, if ever.
+    /// After how long it listens again at the same address, with all faults off; never if absent.
     pub revive_ms: Option<u64>,
     /// How long its cold start takes then.
     pub starting_ms: u64,
