--- a/tests/member_faults.rs
+++ b/tests/member_faults.rs
@@ -197,6 +197,28 @@
     assert!(net.all_hold(4, State::Unreachable), "killed while leaving: it may run on");
 }
 
+#[test]
+fn leaving_member_is_not_blamed_for_lost_datagrams() {
+    let mut net = Net::settled(7, 2);
+    net.step(3, Input::Leave);
+    net.loss = 0.1;
+    net.run(1_200_000);
+    assert!(net.all_hold(3, State::Leaving));
+    assert_eq!(net.declared(State::Unreachable, 0), 0);
+}
+
+#[test]
+fn newcomer_is_probed_in_the_running_round() {
+    for seed in 1..=5 {
+        let mut net = Net::settled(60, seed);
+        let newcomer = net.add();
+        assert_converges(&mut net, "newcomer");
+        net.kill(newcomer);
+        let took = net.run_until(12_000, |net| net.all_hold(newcomer, State::Unreachable));
+        assert!(took.is_some(), "seed {seed}");
+    }
+}
+
 #[test]
 fn old_messages_change_nothing() {
     let mut net = Net::settled(7, 5);
