The ledger's clock never goes back; the golden session waits for the end of the leave

Cause: (1) deadlines were taken from the wall clock; set ahead and back, every deadline looks past. Now the start by the wall clock plus the monotonic one. (3) the contract said of an error that nothing was run; of a retry that is not so, and now it says what holds.

--- a/src/caller_api.rs
+++ b/src/caller_api.rs
@@ -4,7 +4,10 @@
 //! |---|---|---|
 //! | `GET /v1/addresses?region=R&failure_domain=D` | none | 200 [`AddressesReply`] |
 //! | `POST /v1/search` | [`SearchCall`] | 200 [`SearchAnswer`], or an [`ErrorReply`] |
-//! | `POST /v1/run` | [`RunCall`] | 200 [`RunAnswer`], or an [`ErrorReply`], which means that it did not run |
+//! | `POST /v1/run` | [`RunCall`] | 200 [`RunAnswer`], or an [`ErrorReply`] |
+//!
+//! An [`ErrorReply`] means that this call ran nothing. It says nothing of an earlier call with the same
+//! key: only a [`RunAnswer`] does.
 //!
 //! Requests may carry the W3C `traceparent` header.
 
@@ -152,7 +155,7 @@
     pub cause: Option<ErrorCode>,
 }
 
-/// Why a request was not served. Nothing was run.
+/// Why a request was not served. Nothing was run for it.
 #[derive(
     Clone,
     Copy,
@@ -225,7 +228,7 @@
     }
 }
 
-/// The answer to a request that was not served. Nothing was run.
+/// The answer to a request that was not served. Nothing was run for it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ErrorReply {
     /// Why.
--- a/src/home.rs
+++ b/src/home.rs
@@ -337,8 +337,20 @@
     }
 }
 
-/// Milliseconds since the Unix epoch.
+/// When the process first asked for the time, by both clocks.
+struct Origin {
+    unix: time::Duration,
+    monotonic: time::Instant,
+}
+
+static ORIGIN: sync::LazyLock<Origin> = sync::LazyLock::new(|| Origin {
+    unix: time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default(),
+    monotonic: time::Instant::now(),
+});
+
+/// Milliseconds since the Unix epoch. Never goes back: a wall clock that is set ahead and back again
+/// would make deadlines look past.
 pub fn unix_ms() -> u64 {
-    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
-    since.as_millis() as u64
+    let origin = &*ORIGIN;
+    (origin.unix + origin.monotonic.elapsed()).as_millis() as u64
 }
--- a/standin/tests/session.rs
+++ b/standin/tests/session.rs
@@ -121,6 +121,11 @@
     third.process.signal(libc::SIGTERM);
     assert!(third.process.wait(), "the third instance stops with success");
     deployment::wait_members(first.address, 2).await;
+    deployment::wait_for("the end of the leave", async || {
+        let status = deployment::client(first.address, &["status"]).text;
+        status.lines().any(|line| line.contains("entry-3") && line.contains("left")).then_some(())
+    })
+    .await;
     session.run(first.address, &find);
     session.run(first.address, &["status"]);
 
