--- a/standin/examples/spread_slopes.rs
+++ b/standin/examples/spread_slopes.rs
@@ -1,5 +1,6 @@
-//! Prints what one change of the settings costs, by the number of instances, as JSON lines.
+//! Prints what an idle second and one change of the settings cost, by the number of instances, as JSON lines.
 
+use standin::spread_idle;
 use standin::spread_slopes;
 
 const SEEDLING: &str = include_str!("../../examples/seedling.jsonc");
@@ -7,20 +8,37 @@
 const CHANGES: u32 = 4;
 const SEED: u64 = 1;
 
+/// Idle seconds measured.
+const IDLE_S: u64 = 600;
+
+/// The target's size besides.
+const IDLE_SIZES: [usize; 5] = [50, 100, 200, 400, 870];
+
+fn print(cost: &impl serde::Serialize) {
+    match serde_json::to_string(cost) {
+        Ok(line) => println!("{line}"),
+        Err(error) => eprintln!("{error}"),
+    }
+}
+
 fn main() -> std::process::ExitCode {
     let Ok((settings, _)) = tarragondoor::check::parse(SEEDLING) else {
         eprintln!("the example is not usable");
         return std::process::ExitCode::FAILURE;
     };
+    for instances in IDLE_SIZES {
+        let Some(cost) = spread_idle::idle_cost(instances, IDLE_S) else {
+            eprintln!("{instances} instances: the machine did not become ready");
+            return std::process::ExitCode::FAILURE;
+        };
+        print(&cost);
+    }
     for instances in SIZES {
         let Some(cost) = spread_slopes::change_cost(SEED, instances, CHANGES, &settings) else {
             eprintln!("{instances} instances: a change was not accepted in time");
             return std::process::ExitCode::FAILURE;
         };
-        match serde_json::to_string(&cost) {
-            Ok(line) => println!("{line}"),
-            Err(error) => eprintln!("{error}"),
-        }
+        print(&cost);
     }
     std::process::ExitCode::SUCCESS
 }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod layout;
 pub mod platform;
 pub mod searcher;
+pub mod spread_idle;
 pub mod spread_slopes;
 pub mod spread_world;
--- /dev/null
+++ b/standin/src/spread_idle.rs
@@ -0,0 +1,134 @@
+//! What the settings' spread costs one instance while nothing changes, by the number of instances.
+
+use serde::Serialize;
+use std::time;
+use tarragondoor::ids;
+use tarragondoor::spread;
+use tarragondoor::spread::api;
+
+/// Ticks in a second.
+const TICKS: u64 = 10;
+
+/// Datagrams of the membership received in a second, each with a note.
+const NOTES: u64 = 4;
+
+/// The time between two lists of the platform.
+const LIST_PERIOD_S: u64 = 1;
+
+/// The cost of an idle second.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct IdleCost {
+    /// The instances.
+    pub instances: usize,
+    /// Time spent in the state machine, on this machine.
+    pub busy_us: f64,
+    /// Datagrams sent.
+    pub datagrams: f64,
+    /// Calls to the platform.
+    pub platform_calls: f64,
+}
+
+/// Runs one machine among `instances` for `seconds` of played time after it has become ready; `None`
+/// if it does not.
+pub fn idle_cost(instances: usize, seconds: u64) -> Option<IdleCost> {
+    let config =
+        spread::Config { instance: name(0), region: region(0), others_min: 0, rng_seed: 1 };
+    let mut driver = Driver {
+        machine: spread::Spread::new(0, config),
+        names: (0..instances).map(name).collect(),
+        now_ms: 0,
+        datagrams: 0,
+        platform_calls: 0,
+    };
+    for index in 1..instances {
+        driver.step(api::Input::Member(api::Member {
+            instance: name(index),
+            boot: ids::BootId(1),
+            region: region(index % 2),
+            state: api::MemberState::Alive,
+        }));
+    }
+    for second in 0..20 {
+        driver.second(second);
+    }
+    if driver.machine.standing() != api::Standing::Fresh {
+        return None;
+    }
+    (driver.datagrams, driver.platform_calls) = (0, 0);
+    let begun = time::Instant::now();
+    for second in 0..seconds {
+        driver.second(second);
+    }
+    let busy_us = begun.elapsed().as_secs_f64() * 1e6;
+    let per_second = |sum: f64| sum / seconds as f64;
+    Some(IdleCost {
+        instances,
+        busy_us: per_second(busy_us),
+        datagrams: per_second(driver.datagrams as f64),
+        platform_calls: per_second(driver.platform_calls as f64),
+    })
+}
+
+struct Driver {
+    machine: spread::Spread,
+    names: Vec<ids::InstanceName>,
+    now_ms: u64,
+    datagrams: u64,
+    platform_calls: u64,
+}
+
+impl Driver {
+    fn second(&mut self, second: u64) {
+        if second.is_multiple_of(LIST_PERIOD_S) {
+            self.step(api::Input::Listed(self.names.clone()));
+        }
+        for note in 0..NOTES {
+            let index = 1 + (second * NOTES + note) as usize % (self.names.len() - 1);
+            let from = self.names[index].clone();
+            self.step(api::Input::Note { from, boot: ids::BootId(1), version: None });
+        }
+        for _ in 0..TICKS {
+            self.now_ms += 1_000 / TICKS;
+            self.step(api::Input::Tick);
+        }
+    }
+
+    fn step(&mut self, input: api::Input) {
+        for output in self.machine.step(self.now_ms, input) {
+            match output {
+                api::Output::Send { to, message } => self.sent(to, &message),
+                api::Output::Platform { request, call } => self.called(request, &call),
+                _ => {}
+            }
+        }
+    }
+
+    fn sent(&mut self, to: ids::InstanceName, message: &api::Message) {
+        self.datagrams += 1;
+        let api::Message::Query { nonce, .. } = message else { return };
+        let message = api::Message::Said {
+            nonce: *nonce,
+            version: None,
+            standing: api::Standing::Fresh,
+            starters: Vec::new(),
+            more_starters: false,
+        };
+        self.step(api::Input::Datagram { from: to, boot: ids::BootId(1), message });
+    }
+
+    fn called(&mut self, request: u64, call: &api::PlatformCall) {
+        self.platform_calls += 1;
+        if let api::PlatformCall::Get(_) = call {
+            let reply = api::PlatformReply::Absent;
+            self.step(api::Input::Platform { request, reply });
+        }
+    }
+}
+
+fn name(index: usize) -> ids::InstanceName {
+    format!("i{index}").parse().expect("a name")
+}
+
+fn region(index: usize) -> ids::RegionName {
+    format!("r{index}").parse().expect("a name")
+}
