--- a/src/hedge.rs
+++ b/src/hedge.rs
@@ -10,7 +10,7 @@
 /// Retries allowed, in percent of the shard calls that queries need.
 const RETRY_PERCENT: u8 = 10;
 /// The quantile of latencies after which a call is hedged.
-const DELAY_QUANTILE: f64 = 0.95;
+const DELAY_QUANTILE: f64 = 0.97;
 /// The samples that the quantile needs.
 const SAMPLES_MIN: u32 = 50;
 /// The shortest delay of a hedge.
@@ -48,7 +48,7 @@
 /// Decides on extra calls: one for each service at each entry.
 #[derive(Clone, Debug)]
 pub struct Hedger {
-    latencies: estimate::Quantiles,
+    latencies: [estimate::Quantiles; rank::RANK_COUNT],
     hedges: Budget,
     retries: Budget,
 }
@@ -57,7 +57,7 @@
     /// A hedger that has seen no latency; until it has, it does not hedge.
     pub fn new(hedge_percent: u8) -> Self {
         Self {
-            latencies: estimate::Quantiles::default(),
+            latencies: Default::default(),
             hedges: Budget::new(hedge_percent),
             retries: Budget::new(RETRY_PERCENT),
         }
@@ -70,17 +70,17 @@
     }
 
     /// Counts an answer that came `latency_us` after its call was sent.
-    pub fn answered(&mut self, latency_us: u64) {
-        self.latencies.record(latency_us);
+    pub fn answered(&mut self, rank: rank::Rank, latency_us: u64) {
+        self.latencies[rank.index()].record(latency_us);
     }
 
     /// How long to wait for an answer before a hedge, or `None` while too little is known. A call that
     /// could not be hedged then, for want of budget, is looked at again after the same time.
-    pub fn delay_us(&self) -> Option<u64> {
-        if self.latencies.sample_count() < SAMPLES_MIN {
-            return None;
-        }
-        let quantile_us = self.latencies.quantile_us(DELAY_QUANTILE)?;
+    pub fn delay_us(&self, rank: rank::Rank) -> Option<u64> {
+        let own = &self.latencies[rank.index()];
+        let known = |latencies: &&estimate::Quantiles| latencies.sample_count() >= SAMPLES_MIN;
+        let latencies = Some(own).filter(known).or_else(|| self.latencies.iter().find(known))?;
+        let quantile_us = latencies.quantile_us(DELAY_QUANTILE)?;
         Some(quantile_us.max(DELAY_MIN_US))
     }
 
--- a/tests/driver/entry.rs
+++ b/tests/driver/entry.rs
@@ -72,7 +72,7 @@
             }
         }
         self.push(self.setup.deadlines_us[rank.index()], Event::Deadline(index));
-        if let Some(delay_us) = self.entries[entry].hedger.delay_us()
+        if let Some(delay_us) = self.entries[entry].hedger.delay_us(rank)
             && self.setup.policy == policy::Policy::Full
         {
             self.push(delay_us, Event::Hedge(index));
@@ -112,6 +112,7 @@
         let record = &self.calls[call];
         let (query, part, searcher) = (record.query, record.part, record.searcher as u16);
         let latency_us = self.now_us - record.sent_us;
+        let rank = self.queries[query].rank;
         let at = &mut self.entries[self.queries[query].entry];
         at.gate.learn(self.now_us, searcher, admit::Fractions(fractions));
         let [slots, in_use, queued, service_us] = report;
@@ -123,7 +124,7 @@
         );
         if answered {
             at.chooser.answered(self.now_us, searcher, latency_us);
-            at.hedger.answered(latency_us);
+            at.hedger.answered(rank, latency_us);
         }
         if self.calls[call].over {
             return;
@@ -185,7 +186,8 @@
         if self.queries[query].ending != Ending::Open {
             return;
         }
-        if let Some(delay_us) = self.entries[self.queries[query].entry].hedger.delay_us() {
+        let rank = self.queries[query].rank;
+        if let Some(delay_us) = self.entries[self.queries[query].entry].hedger.delay_us(rank) {
             self.push(delay_us, Event::Hedge(query));
         }
         for part in 0..self.queries[query].parts.len() {
