--- a/src/drive.rs
+++ b/src/drive.rs
@@ -194,7 +194,7 @@
             }
             query.choose_mut().now_us = now_us;
             let sends = query.hedge(self.start.node.now_ms(), sent.attempt);
-            lock(&self.start.traffic).hedged(self.start.call.rank, sends.len() as u32);
+            lock(&self.start.traffic).hedged(sends.len() as u32);
             outputs.extend(sends);
         }
         outputs
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -2,6 +2,7 @@
 
 use crate::attempts;
 use crate::caller_api;
+use crate::clock;
 use crate::drive;
 use crate::gate;
 use crate::gossip;
@@ -66,8 +67,8 @@
     pub metrics: metrics::Metrics,
     /// Whether requests are taken.
     pub gate: gate::Gate,
-    /// When the process started.
-    pub started: time::Instant,
+    /// When the instance started, on [`clock::now_us`].
+    pub started_us: u64,
 }
 
 /// An error for the caller.
@@ -81,12 +82,12 @@
 impl Node {
     /// Microseconds since the process started.
     pub fn now_us(&self) -> u64 {
-        self.started.elapsed().as_micros() as u64
+        clock::now_us().saturating_sub(self.started_us)
     }
 
     /// Milliseconds since the process started.
     pub fn now_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+        self.now_us() / 1_000
     }
 
     /// Whether requests may be served now.
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -7,8 +7,7 @@
 #[derive(Debug, Default)]
 pub struct Gate {
     stopping: atomic::AtomicBool,
-    ready: atomic::AtomicBool,
-    told_ms: atomic::AtomicU64,
+    ready_until_ms: atomic::AtomicU64,
     open: sync::Arc<atomic::AtomicUsize>,
 }
 
@@ -29,14 +28,13 @@
 impl Gate {
     /// Notes whether the settings in force may be trusted.
     pub fn set_ready(&self, now_ms: u64, ready: bool) {
-        self.told_ms.store(now_ms, atomic::Ordering::Release);
-        self.ready.store(ready, atomic::Ordering::Release);
+        let until_ms = if ready { now_ms + READY_AGE_MAX_MS } else { 0 };
+        self.ready_until_ms.store(until_ms, atomic::Ordering::Release);
     }
 
     /// Whether the settings in force may be trusted now.
     pub fn is_ready(&self, now_ms: u64) -> bool {
-        let age_ms = now_ms.saturating_sub(self.told_ms.load(atomic::Ordering::Acquire));
-        self.ready.load(atomic::Ordering::Acquire) && age_ms <= READY_AGE_MAX_MS
+        now_ms < self.ready_until_ms.load(atomic::Ordering::Acquire)
     }
 
     /// Counts a request in.
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -1,6 +1,7 @@
 //! An instance put together: its duties, started and stopped.
 
 use crate::attempts;
+use crate::clock;
 use crate::config;
 use crate::duty;
 use crate::entry;
@@ -110,7 +111,7 @@
         policy: config.policy,
         metrics: metrics::Metrics::new(),
         gate: gate::Gate::default(),
-        started: time::Instant::now(),
+        started_us: clock::now_us(),
     });
     let serve = sync::Arc::new(serve::Server { node: node.clone() });
     let mut duties = tokio::task::JoinSet::new();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod choose;
 pub mod cli;
 pub mod client;
+pub mod clock;
 pub mod cmd;
 pub mod config;
 pub mod connection;
--- a/src/spreader.rs
+++ b/src/spreader.rs
@@ -215,7 +215,7 @@
     resyncs.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            _ = ticks.tick() => duty.step(api::Input::Tick),
+            _ = ticks.tick() => duty.tick(),
             _ = resyncs.tick() => duty.resync(),
             event = events.recv() => match event {
                 Some(event) => duty.heard(event),
@@ -236,6 +236,10 @@
             self.act(output);
         }
         self.node.gate.set_ready(now_ms, self.spread.may_serve(now_ms));
+    }
+
+    fn tick(&mut self) {
+        self.step(api::Input::Tick);
         self.publish();
     }
 
@@ -400,6 +404,7 @@
     fn apply(&mut self, revision: ids::Revision, document: &document::Document) {
         self.node.settings.store(document.settings().clone());
         self.set_note();
+        self.publish();
         crate::event!(info, Event::SettingsInForce, %revision, document = %document.hash());
     }
 
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -22,7 +22,7 @@
     searchers: Vec<ids::SearcherName>,
     distances: Vec<peers::Distance>,
     chooser: choose::Chooser,
-    hedgers: [hedge::Hedger; rank::RANK_COUNT],
+    hedger: hedge::Hedger,
     gate: admit::Gate,
     layout: Option<(snapshot::Snapshot, sync::Arc<choose::Layout>)>,
     policy: policy::Policy,
@@ -59,7 +59,7 @@
             searchers: Vec::new(),
             distances: Vec::new(),
             chooser: choose::Chooser::new(policy, [], PROBE_INTERVAL_US),
-            hedgers: hedgers(hedge_percent),
+            hedger: hedge::Hedger::new(hedge_percent),
             gate: admit::Gate::new(0),
             layout: None,
             policy,
@@ -71,7 +71,7 @@
     /// forgotten if they are not the same.
     pub fn follow(&mut self, known: &[Known], hedge_percent: u8) {
         if self.hedge_percent != hedge_percent {
-            self.hedgers = hedgers(hedge_percent);
+            self.hedger = hedge::Hedger::new(hedge_percent);
             self.hedge_percent = hedge_percent;
         }
         let same = known.len() == self.searchers.len()
@@ -106,7 +106,7 @@
                 admit::Admission::Refuse => return None,
             },
         };
-        self.hedgers[rank.index()].needed(plan.calls.len() as u32);
+        self.hedger.needed(plan.calls.len() as u32);
         Some(Admitted { weight, plan, layout })
     }
 
@@ -160,7 +160,7 @@
         match reply.outcome {
             peer_api::ShardOutcome::Answered { .. } => {
                 self.chooser.answered(now_us, index, latency_us);
-                self.hedgers[rank.index()].answered(latency_us);
+                self.hedger.answered(rank, latency_us);
             }
             peer_api::ShardOutcome::Failed(peer_api::Failure::Lost) => {
                 self.chooser.overdue(now_us, index, latency_us);
@@ -173,7 +173,7 @@
     pub fn hedge_delay_us(&self, rank: rank::Rank) -> Option<u64> {
         match self.policy {
             policy::Policy::Plain => None,
-            policy::Policy::Full => self.hedgers[rank.index()].delay_us(),
+            policy::Policy::Full => self.hedger.delay_us(rank),
         }
     }
 
@@ -190,18 +190,18 @@
         };
         self.chooser.overdue(now_us, index, age_us);
         let saturated = self.saturated(now_us, rank);
-        self.hedgers[rank.index()].hedge(rank, saturated)
+        self.hedger.hedge(rank, saturated)
     }
 
     /// Whether a call that was refused for want of room may be sent elsewhere.
     pub fn may_retry(&mut self, now_us: u64, rank: rank::Rank) -> bool {
         let saturated = self.saturated(now_us, rank);
-        self.hedgers[rank.index()].retry(rank, saturated)
+        self.hedger.retry(rank, saturated)
     }
 
     /// Counts a hedge that took `calls` calls, since no one searcher has all of its shards.
-    pub fn hedged(&mut self, rank: rank::Rank, calls: u32) {
-        self.hedgers[rank.index()].owe(calls.saturating_sub(1));
+    pub fn hedged(&mut self, calls: u32) {
+        self.hedger.owe(calls.saturating_sub(1));
     }
 
     /// A slow searcher that is due for an extra call, beside a call that is needed.
@@ -213,7 +213,7 @@
         call: &choose::Call,
     ) -> Option<u16> {
         let probed = self.chooser.probe(now_us, layout, call)?;
-        if !self.hedgers[rank.index()].hedge(rank, false) {
+        if !self.hedger.hedge(rank, false) {
             return None;
         }
         Some(probed)
@@ -263,11 +263,6 @@
     }
 }
 
-/// One for each rank: ranks wait differently long, and each has its own budget.
-fn hedgers(percent: u8) -> [hedge::Hedger; rank::RANK_COUNT] {
-    [(); rank::RANK_COUNT].map(|()| hedge::Hedger::new(percent))
-}
-
 /// The traffic of all services, sorted by service.
 #[derive(Debug, Default)]
 pub struct Traffics {
