--- a/src/choose/layout.rs
+++ b/src/choose/layout.rs
@@ -8,16 +8,15 @@
 }
 
 impl Layout {
-    /// A layout from the holders of each shard.
-    pub fn new(searcher_count: usize, holders: Vec<Vec<u16>>) -> Self {
+    /// A layout from the holders of each shard. Holders that are not below `searcher_count`, which is
+    /// the number of searchers that the [`super::Chooser`] knows, are left out.
+    pub fn new(searcher_count: usize, mut holders: Vec<Vec<u16>>) -> Self {
         let words = holders.len().div_ceil(64);
         let mut held = vec![vec![0_u64; words]; searcher_count];
-        for (shard, searchers) in holders.iter().enumerate() {
+        for (shard, searchers) in holders.iter_mut().enumerate() {
+            searchers.retain(|searcher| usize::from(*searcher) < searcher_count);
             for searcher in searchers {
-                let Some(bits) = held.get_mut(usize::from(*searcher)) else {
-                    continue;
-                };
-                bits[shard / 64] |= 1 << (shard % 64);
+                held[usize::from(*searcher)][shard / 64] |= 1 << (shard % 64);
             }
         }
         Self { holders, held }
--- a/tests/policy_choice.rs
+++ b/tests/policy_choice.rs
@@ -72,6 +72,14 @@
     }
 }
 
+#[test]
+fn an_unknown_holder_is_left_out() {
+    let layout = Layout::new(1, vec![vec![0, 7], vec![7]]);
+    let mut chooser = Chooser::new(Policy::Full, [Distance::SameDomain], SECOND_US);
+    let plan = chooser.choose(0, &layout, 1);
+    assert_eq!((plan.calls.len(), plan.missing), (1, vec![1]));
+}
+
 #[test]
 fn the_plain_choice_goes_round() {
     let (mut chooser, layout) = three(Policy::Plain);
