Members: tests that fail without the guards they are meant for

Cause: with each guard taken out in turn on this tree, four trials left all tests green: another's verdict taken at once, the pause not noticed, no indirect probes, no corrections. Change: a verdict injected by one member; a pause while a suspicion runs, and the first step after it is a tick, as in the thread; a cut pair must not be suspected. The queue's run() did nothing for less than a tick; mended. Left: no test fails without the corrections (a suspect told of it in an ack).

--- a/tests/member_faults.rs
+++ b/tests/member_faults.rs
@@ -4,8 +4,9 @@
 
 use member_net::Net;
 use std::net;
-use tarragondoor::member::State;
 use tarragondoor::member::machine::{Event, Input};
+use tarragondoor::member::message::{Kind, Message};
+use tarragondoor::member::{Record, RevisionNote, State};
 
 const CONVERGE_MAX_MS: u64 = 60_000;
 const NODES: usize = 8;
@@ -134,6 +135,10 @@
 fn woken_member_blames_nobody() {
     for paused_ms in [2_000, 5_000, 60_000, 3_600_000] {
         let mut net = Net::settled(7, 2);
+        let suspect = with_state(&net, 5, State::Suspect);
+        net.inject(member_net::address(0), 3, gossip(&net, 0, suspect));
+        net.run(2);
+        assert_eq!(net.state(3, 5), Some(State::Suspect));
         net.freeze(3);
         net.run(paused_ms);
         let woken_ms = net.now_ms;
@@ -248,7 +253,7 @@
     net.run(20_000);
     let address = member_net::address(50);
     let newer = member_net::record(3, address, 9);
-    net.inject(address, 0, gossip_of(newer.clone()));
+    net.inject(address, 0, gossip(&net, 1, newer.clone()));
     net.run(5_000);
     net.wake(3);
     net.run(20_000);
@@ -258,16 +263,50 @@
     assert_eq!(net.nodes[0].machine.find(&newer.name).unwrap().boot, newer.boot);
 }
 
-fn gossip_of(record: tarragondoor::member::Record) -> tarragondoor::member::message::Message {
-    tarragondoor::member::message::Message {
-        from: record.name.clone(),
-        boot: record.boot,
-        note: tarragondoor::member::RevisionNote::default(),
-        kind: tarragondoor::member::message::Kind::Gossip,
+/// What node `of` says of itself, but for the state.
+fn with_state(net: &Net, of: usize, state: State) -> Record {
+    Record { state, ..net.nodes[of].machine.me().clone() }
+}
+
+/// Gossip of node `from`.
+fn gossip(net: &Net, from: usize, record: Record) -> Message {
+    let me = net.nodes[from].machine.me();
+    Message {
+        from: me.name.clone(),
+        boot: me.boot,
+        note: RevisionNote::default(),
+        kind: Kind::Gossip,
         updates: vec![record],
     }
 }
 
+#[test]
+fn verdict_of_another_is_checked_with_the_member() {
+    let mut net = Net::settled(7, 11);
+    let start_ms = net.now_ms;
+    let verdict = with_state(&net, 3, State::Unreachable);
+    net.inject(member_net::address(1), 0, gossip(&net, 1, verdict.clone()));
+    net.run(5_000);
+    assert_eq!(net.declared(State::Unreachable, start_ms), 0);
+    assert!(net.nodes[3].machine.me().incarnation > verdict.incarnation, "refuted");
+    assert!(net.agrees());
+
+    net.kill(3);
+    let verdict = with_state(&net, 3, State::Unreachable);
+    net.inject(member_net::address(1), 0, gossip(&net, 1, verdict));
+    net.run(30_000);
+    assert!(net.all_hold(3, State::Unreachable));
+}
+
+#[test]
+fn pair_that_is_cut_is_probed_by_others() {
+    let mut net = Net::settled(NODES, 2);
+    let start_ms = net.now_ms;
+    net.cut = vec![(6, 7)];
+    net.run(120_000);
+    assert_eq!(net.declared(State::Suspect, start_ms), 0);
+}
+
 fn list(indexes: impl IntoIterator<Item = usize>) -> Input {
     let line = |index| (member_net::name(index), member_net::address(index));
     Input::Listed(indexes.into_iter().map(line).collect())
--- a/tests/member_net/mod.rs
+++ b/tests/member_net/mod.rs
@@ -180,6 +180,7 @@
 
     pub fn wake(&mut self, index: usize) {
         self.nodes[index].frozen = false;
+        self.step(index, machine::Input::Tick);
         for (from, message) in std::mem::take(&mut self.nodes[index].inbox) {
             self.step(index, machine::Input::Datagram { from, message });
         }
@@ -254,10 +255,10 @@
                 if holds(self) {
                     return Some(self.now_ms - start_ms);
                 }
-                check_ms += TICK_MS;
-                if check_ms > end_ms {
+                if check_ms == end_ms {
                     return None;
                 }
+                check_ms = (check_ms + TICK_MS).min(end_ms);
                 continue;
             }
             self.queue.pop();
