--- a/standin/tests/at_most_once.rs
+++ b/standin/tests/at_most_once.rs
@@ -3,43 +3,25 @@
 
 mod deployment;
 
+use deployment::world;
 use serde_json::Value;
-use standin::{fleet, layout, platform, searcher};
-use std::net;
+use standin::searcher;
 use std::time;
 
 const DEADLINE_MS: u64 = 1_000;
 
-struct World {
-    platform: platform::Platform,
-    fleet: fleet::Fleet,
-    instances: Vec<deployment::Instance>,
-}
+/// The deployment, with what is asked of it here.
+struct World(world::World);
 
-impl World {
-    /// Three instances with the settings of the tests in force.
-    async fn start() -> Self {
-        let any_port = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
-        let platform = platform::Platform::start(any_port, platform::Faults::default())
-            .await
-            .expect("the platform starts");
-        let layout = layout::FleetConfig::parse(include_str!("data/fleet.jsonc"))
-            .expect("the fleet file is well formed");
-        let fleet = fleet::start(&layout, Some(platform.address())).await.expect("a fleet");
-        let first = deployment::start_instance(1, platform.address(), &[], 500);
-        let second = deployment::start_instance(2, platform.address(), &[&first], 500);
-        let third = deployment::start_instance(3, platform.address(), &[&first], 500);
-        let instances = vec![first, second, third];
-        for instance in &instances {
-            deployment::wait_members(instance.address, instances.len()).await;
-        }
-        deployment::put_in_force(instances[0].address, "tests/data/settings.jsonc");
-        for instance in &instances {
-            deployment::wait_whole(instance.address, "packets").await;
-        }
-        Self { platform, fleet, instances }
+impl std::ops::Deref for World {
+    type Target = world::World;
+
+    fn deref(&self) -> &world::World {
+        &self.0
     }
+}
 
+impl World {
     fn key(&self, home: usize, number: u64) -> String {
         let home = &self.instances[home];
         format!("{}:{}:{}-{number:016x}", home.name, home.boot, home.boot / 1_000_000)
@@ -65,12 +47,6 @@
         }
         runs
     }
-
-    fn set_faults(&self, faults: searcher::Faults) {
-        for member in self.fleet.members() {
-            member.searcher.set_faults(faults.clone());
-        }
-    }
 }
 
 fn outcome(answer: Option<&Value>) -> &str {
@@ -91,7 +67,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn claims_under_faults() {
-    let mut world = World::start().await;
+    let mut world = World(world::World::start(500).await);
     assert!(world.platform.calls().total() > 0, "instances read the platform's list");
 
     let key = world.key(0, 1);
@@ -160,7 +136,7 @@
     let ran = world.claim(1, &key, "killed").await;
     assert_eq!(outcome(ran.as_ref()), "ran", "{ran:?}");
     world.instances[1].process.signal(libc::SIGKILL);
-    world.instances[1].process.wait();
+    world.0.instances[1].process.wait();
     let after = world.claim(0, &key, "killed").await;
     assert_eq!(outcome(after.as_ref()), "unknown", "{after:?}");
     check("home killed", &[ran, after], world.runs("killed"));
--- a/standin/tests/deployment/mod.rs
+++ b/standin/tests/deployment/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test uses its own part")]
 
+pub mod world;
+
 use serde_json::Value;
 use std::io;
 use std::io::BufRead as _;
--- /dev/null
+++ b/standin/tests/deployment/world.rs
@@ -0,0 +1,50 @@
+//! Instances as processes over a platform and backend servers within the test, so that the test can give
+//! these faults and read what they counted.
+
+use super::{Instance, put_in_force, start_instance, wait_members, wait_whole};
+use standin::{fleet, layout, platform, searcher};
+use std::net;
+
+/// The deployment.
+pub struct World {
+    /// The platform.
+    pub platform: platform::Platform,
+    /// The backend servers.
+    pub fleet: fleet::Fleet,
+    /// The instances.
+    pub instances: Vec<Instance>,
+}
+
+impl World {
+    /// Three instances with the settings of the tests in force.
+    pub async fn start(address_ttl_ms: u32) -> Self {
+        let any_port = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+        let platform = platform::Platform::start(any_port, platform::Faults::default())
+            .await
+            .expect("the platform starts");
+        let layout = layout::FleetConfig::parse(include_str!("../data/fleet.jsonc"))
+            .expect("the fleet file is well formed");
+        let fleet = fleet::start(&layout, Some(platform.address())).await.expect("a fleet");
+        let address = platform.address();
+        let first = start_instance(1, address, &[], address_ttl_ms);
+        let second = start_instance(2, address, &[&first], address_ttl_ms);
+        let third = start_instance(3, address, &[&first], address_ttl_ms);
+        let instances = vec![first, second, third];
+        for instance in &instances {
+            wait_members(instance.address, instances.len()).await;
+        }
+        put_in_force(instances[0].address, "tests/data/settings.jsonc");
+        for instance in &instances {
+            wait_whole(instance.address, "packets").await;
+            wait_whole(instance.address, "beans").await;
+        }
+        Self { platform, fleet, instances }
+    }
+
+    /// Gives all backend servers the faults.
+    pub fn set_faults(&self, faults: searcher::Faults) {
+        for member in self.fleet.members() {
+            member.searcher.set_faults(faults.clone());
+        }
+    }
+}
