--- a/src/platform_api.rs
+++ b/src/platform_api.rs
@@ -9,6 +9,10 @@
 //! | `POST /v1/leases/renew` | [`LeaseReply`] | 200, 404 if it lapsed |
 //! | `GET /v1/instances` | none | 200 [`InstanceList`]; the list lags |
 //!
+//! Every call may also be answered with a status of 400 or more and a [`PlatformError`]: 404 for a lapsed
+//! lease, 413 for a value above [`VALUE_MAX_BYTES`], 503 in an outage, 507 when the store is full. Nothing
+//! was written then. A key that goes with its lease wakes no watch.
+//!
 //! A lost reply leaves the outcome of a `PUT` unknown: it may have taken effect.
 
 use crate::ids;
--- a/src/searcher.rs
+++ b/src/searcher.rs
@@ -212,7 +212,7 @@
         if reply.attempt != request.attempt {
             return failed(peer_api::Failure::Lost);
         }
-        held.outcome = slots::Outcome::Answered;
+        held.outcome = answered(reply.load);
         if reply.draining {
             self.note_draining();
         }
@@ -247,7 +247,7 @@
         };
         match serde_json::from_slice::<searcher_api::RunReply>(&answer.body) {
             Ok(reply) if reply.attempt == request.attempt => {
-                held.outcome = slots::Outcome::Answered;
+                held.outcome = answered(reply.load);
                 if reply.draining {
                     self.note_draining();
                 }
@@ -316,7 +316,7 @@
             slots::Cancelled::Dropped | slots::Cancelled::Unknown => {}
             slots::Cancelled::Running => {
                 let service_us = now_us.saturating_sub(started_us);
-                if outcome == slots::Outcome::Answered {
+                if matches!(outcome, slots::Outcome::Answered | slots::Outcome::Crowded) {
                     queue.admission.answered(now_us, want.rank, service_us);
                 }
                 let step = queue.slots.finish(now_us, want.attempt, service_us, outcome);
@@ -445,6 +445,14 @@
     }
 }
 
+/// A searcher that has calls waiting though its owner hands out its slots is used by another owner too.
+fn answered(load: searcher_api::Load) -> slots::Outcome {
+    if load.queued > 0 {
+        return slots::Outcome::Crowded;
+    }
+    slots::Outcome::Answered
+}
+
 fn slot_outcome(failure: peer_api::Failure) -> slots::Outcome {
     match failure {
         peer_api::Failure::Refused(searcher_api::Refusal::Shed) => slots::Outcome::Refused,
