--- a/standin/tests/deployment/mod.rs
+++ b/standin/tests/deployment/mod.rs
@@ -150,6 +150,10 @@
     pub peer_address: net::SocketAddr,
     /// Its boot.
     pub boot: u64,
+    /// Its region.
+    pub region: &'static str,
+    /// Its failure domain.
+    pub failure_domain: &'static str,
 }
 
 /// Starts the instance number `number`, counted from 1, in the domain that is its turn.
@@ -191,6 +195,8 @@
         address: text("address").parse().expect("an address"),
         peer_address: text("peer_address").parse().expect("an address"),
         boot: text("boot").parse().expect("a number"),
+        region,
+        failure_domain: domain,
         name,
         process,
     }
--- a/standin/tests/deployment/world.rs
+++ b/standin/tests/deployment/world.rs
@@ -2,8 +2,10 @@
 //! these faults and read what they counted.
 
 use super::{Instance, put_in_force, start_instance, wait_members, wait_whole};
-use standin::{fleet, layout, platform, searcher};
+use standin::platform::{self, list};
+use standin::{fleet, layout, searcher};
 use std::net;
+use tarragondoor::platform_api;
 
 /// The deployment.
 pub struct World {
@@ -30,6 +32,9 @@
         let second = start_instance(2, address, &[&first], address_ttl_ms);
         let third = start_instance(3, address, &[&first], address_ttl_ms);
         let instances = vec![first, second, third];
+        for instance in &instances {
+            list_live(&platform, instance);
+        }
         for instance in &instances {
             wait_members(instance.address, instances.len()).await;
         }
@@ -48,3 +53,17 @@
         }
     }
 }
+
+/// Lists an instance with the platform, as the platform does for all that it runs.
+fn list_live(platform: &platform::Platform, instance: &Instance) {
+    let listed = platform_api::ListedInstance {
+        workload: platform_api::Workload::Entry {
+            instance: instance.name.parse().expect("a name"),
+            peer_address: instance.peer_address,
+        },
+        region: instance.region.parse().expect("a name"),
+        failure_domain: instance.failure_domain.parse().expect("a name"),
+        state: platform_api::ListState::Live,
+    };
+    platform.change_list(list::ListChange { upsert: vec![listed], remove: Vec::new() });
+}
