RED: a draining backend server whose status claims to be ready gets new work again

Test: draining_backend_server_that_misleads. Cause, by reading and not proven: DRAINING_HOLD in src/searcher.rs ends after 10 s, then the status is believed.

--- a/standin/tests/leaving.rs
+++ b/standin/tests/leaving.rs
@@ -96,6 +96,19 @@
     assert_left_alone(&world, "its status lags and the platform is down", "packets-s01").await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn draining_backend_server_that_misleads() {
+    let world = world::World::start(500).await;
+    search_for(&world, "before", time::Duration::from_secs(1)).await;
+    let name: ids::SearcherName = "packets-s03".parse().expect("a name");
+    world.fleet.searcher(&name).expect("a backend server").set_faults(searcher::Faults {
+        draining: true,
+        claim_ready: true,
+        ..searcher::Faults::default()
+    });
+    assert_left_alone(&world, "its status claims to be ready", name.as_str()).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn backend_server_listed_as_leaving() {
     let world = world::World::start(500).await;
