RED: an instance started during an outage of the platform does not serve searches

Test: started_during_an_outage_serves. The same instance learns the newest revision and its /v1/health is 200: started_during_an_outage_learns is green. Cause, by reading and not proven: the directory of backend servers comes from the platform's list alone (read_list in src/duty.rs), and no instance hands it to another.

--- a/standin/tests/outage.rs
+++ b/standin/tests/outage.rs
@@ -141,6 +141,23 @@
     assert_serving(&world, "a fourth has joined").await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn started_during_an_outage_serves() {
+    let world = world::World::start(500).await;
+    let fourth = start_fourth(&world).await;
+    let deadline = std::time::Instant::now() + deployment::PATIENCE;
+    loop {
+        let body = deployment::search("packets", "late runner");
+        let answer = deployment::call(fourth.address, "/v1/search", Some(&body)).await;
+        let missing = answer.as_ref().and_then(|answer| answer.body.pointer("/coverage/missing"));
+        if missing == Some(&serde_json::json!([])) {
+            return;
+        }
+        assert!(std::time::Instant::now() < deadline, "no whole answer; the last: {answer:?}");
+        tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn frozen_during_a_change() {
     let world = world::World::start(500).await;
