--- a/src/gate.rs
+++ b/src/gate.rs
@@ -8,6 +8,7 @@
 pub struct Gate {
     stopping: atomic::AtomicBool,
     ready_until_ms: atomic::AtomicU64,
+    superseded: atomic::AtomicBool,
     open: sync::Arc<atomic::AtomicUsize>,
 }
 
@@ -34,9 +35,17 @@
 
     /// Whether the settings in force may be trusted now.
     pub fn is_ready(&self, now_ms: u64) -> bool {
+        if self.superseded.load(atomic::Ordering::Acquire) {
+            return false;
+        }
         now_ms < self.ready_until_ms.load(atomic::Ordering::Acquire)
     }
 
+    /// Notes that a newer process has this instance's name: this one serves no more.
+    pub fn supersede(&self) {
+        self.superseded.store(true, atomic::Ordering::Release);
+    }
+
     /// Counts a request in.
     pub fn enter(&self) -> Open {
         self.open.fetch_add(1, atomic::Ordering::AcqRel);
--- a/src/spreader.rs
+++ b/src/spreader.rs
@@ -284,7 +284,8 @@
                 }
                 self.step(api::Input::Datagram { from, boot, message });
             }
-            machine::Event::Superseded(_) | machine::Event::Paused { .. } => {}
+            machine::Event::Superseded(_) => self.node.gate.supersede(),
+            machine::Event::Paused { .. } => {}
         }
     }
 
