What others said of their revisions is published at once

Cause: published at each tick only, a status right after an acceptance showed the others one revision behind (tests lost_reply_settles and platform_down_and_back: [2, 1, 1] in place of [2, 2, 2]). Now published when it changes, which is rare.

--- a/src/spreader.rs
+++ b/src/spreader.rs
@@ -303,11 +303,13 @@
                 let Some(known) = self.said.get_mut(index) else {
                     return;
                 };
-                if (known.boot, known.revision) < (boot, revision) {
-                    *known = said;
+                if (known.boot, known.revision) >= (boot, revision) {
+                    return;
                 }
+                *known = said;
             }
         }
+        self.publish();
     }
 
     fn told(&mut self, command: Command) {
