The load tool is many callers; ownership is worked out once for each change

Cause: background work had p50 42 ms and p99 234 ms at 45 % of the capacity, and standard work was late after floods. The load tool was one caller, which keeps one address for 5 s: all searches entered at one instance, which prefers its own failure domain, so that a third of the searchers carried the load. Now it is 64 callers with an address answer each. Links' read buffers are 8 KB, not 64 (111 MB at 869 links each way).

--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -6,20 +6,29 @@
 use error_stack::{Report, ResultExt as _};
 use std::sync;
 
+/// How many callers there are. Each keeps its own address answer, so that the searches enter at all
+/// instances.
+const CALLERS: usize = 64;
+
 /// Threads of the load tool.
 const WORKER_THREADS: usize = 2;
 
 impl Run for cli::Bench {
     fn run(&self, global: &cli::Global) -> Result<cli::Exit, Report<Failure>> {
-        let caller = sync::Arc::new(super::new_caller(global)?);
+        let mut callers = Vec::with_capacity(CALLERS);
+        for _ in 0..CALLERS {
+            callers.push(sync::Arc::new(super::new_caller(global)?));
+        }
         let mut builder = tokio::runtime::Builder::new_multi_thread();
         let runtime = builder.worker_threads(WORKER_THREADS).enable_all().build();
         let runtime = runtime.change_context(Failure::Failed("could not start"))?;
         let report = runtime.block_on(async {
             // Without an instance there is nothing to measure.
-            let addresses = caller.addresses().await;
-            addresses.change_context(Failure::Failed("could not ask for the instances"))?;
-            let report = runner::run(sync::Arc::clone(&caller), &self.plan, show_progress).await;
+            for caller in &callers {
+                let addresses = caller.addresses().await;
+                addresses.change_context(Failure::Failed("could not ask for the instances"))?;
+            }
+            let report = runner::run(&callers, &self.plan, show_progress).await;
             report.change_context(Failure::Failed("could not measure"))
         })?;
         super::print_value(global, &report, ToString::to_string)?;
--- a/src/duty.rs
+++ b/src/duty.rs
@@ -115,19 +115,49 @@
     peers::Peers::new(peers)
 }
 
-/// Has ownership and links follow the members, the list and the settings.
+/// Has ownership and links follow the members, the list and the settings. Nothing is worked out anew
+/// while none of them has changed.
 pub async fn follow(node: sync::Arc<entry::Node>, serve: sync::Arc<serve::Server>) {
+    let mut followed: Option<Followed> = None;
     loop {
-        let peers = sync::Arc::new(peers_of(&node.gossip.view()));
-        node.world.peers.store(peers.clone());
-        let directory = node.world.directory.load_full();
-        let settings = node.settings.load_full();
-        node.owner.follow(&peers, &directory, |service| limits(&settings, service, node.policy));
-        node.links.follow(&peers, &serve);
+        let present = Followed {
+            peers: sync::Arc::new(peers_of(&node.gossip.view())),
+            directory: node.world.directory.load_full(),
+            settings: node.settings.load_full(),
+        };
+        if !followed.as_ref().is_some_and(|followed| followed.is_same(&present)) {
+            take_up(&node, &serve, &present);
+            followed = Some(present);
+        }
         tokio::time::sleep(FOLLOW_PERIOD).await;
     }
 }
 
+/// What ownership was last worked out from.
+struct Followed {
+    peers: sync::Arc<peers::Peers>,
+    directory: sync::Arc<peers::Directory>,
+    settings: sync::Arc<settings::Settings>,
+}
+
+impl Followed {
+    fn is_same(&self, other: &Followed) -> bool {
+        sync::Arc::ptr_eq(&self.directory, &other.directory)
+            && sync::Arc::ptr_eq(&self.settings, &other.settings)
+            && self.peers == other.peers
+    }
+}
+
+fn take_up(node: &entry::Node, serve: &sync::Arc<serve::Server>, present: &Followed) {
+    let owners = peers::Owners::new(&present.peers, &present.directory);
+    node.owner.follow(&owners, &present.directory, |service| {
+        limits(&present.settings, service, node.policy)
+    });
+    node.world.peers.store(present.peers.clone());
+    node.world.owners.store(sync::Arc::new(owners));
+    node.links.follow(&present.peers, serve);
+}
+
 fn limits(
     settings: &settings::Settings,
     service: &ids::ServiceName,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -272,10 +272,7 @@
 
     /// The instance that owns a searcher.
     pub fn owner_of(&self, searcher: &ids::SearcherName) -> Option<ids::InstanceName> {
-        let directory = self.world.directory.load();
-        let listed = directory.find(searcher)?;
-        let peers = self.world.peers.load();
-        peers.owner(&listed.place, searcher).map(|peer| peer.instance.clone())
+        self.world.owners.load().find(searcher).cloned()
     }
 }
 
--- a/src/link.rs
+++ b/src/link.rs
@@ -25,6 +25,7 @@
 const DIAL_PAUSE: time::Duration = time::Duration::from_millis(200);
 const QUEUE_FRAMES: usize = 4_096;
 const WRITE_BATCH_BYTES: usize = 64 * 1024;
+const READ_BUFFER_BYTES: usize = 8 * 1024;
 const HELLO_MAX_BYTES: usize = 1_024;
 
 /// The frames that wait to be written to a link.
@@ -445,7 +446,7 @@
     traffic: &Traffic,
     mut take: impl FnMut(peer_api::Frame),
 ) -> Result<(), frame::FrameError> {
-    let mut stream = tokio::io::BufReader::with_capacity(WRITE_BATCH_BYTES, stream);
+    let mut stream = tokio::io::BufReader::with_capacity(READ_BUFFER_BYTES, stream);
     loop {
         let reading = frame::read(&mut stream, frame::FRAME_MAX_BYTES);
         let rest = tokio::time::timeout(SILENCE_MAX, reading).await.map_err(|_| timed_out())??;
--- a/src/load/runner.rs
+++ b/src/load/runner.rs
@@ -45,9 +45,9 @@
     pub overruns: u64,
 }
 
-/// Runs `plan` and shows its progress by `show`.
+/// Runs `plan`, its searches in turn by one of `callers` each, and shows its progress by `show`.
 pub async fn run(
-    caller: sync::Arc<caller::Caller>,
+    callers: &[sync::Arc<caller::Caller>],
     plan: &load::Plan,
     mut show: impl FnMut(Progress),
 ) -> Result<report::Report, RunError> {
@@ -62,6 +62,7 @@
     let mut progress =
         Progress { elapsed: time::Duration::ZERO, started: 0, in_flight: 0, overruns: 0 };
     let mut lag_max = time::Duration::ZERO;
+    let mut turn = callers.iter().cycle();
     for arrival in arrivals::Arrivals::new(plan) {
         let intended = begin + time::Duration::from_secs_f64(arrival.at_s);
         tokio::time::sleep_until(intended).await;
@@ -85,7 +86,8 @@
         };
         progress.started += 1;
         let call = search_call(plan, &arrival);
-        let (caller, sender) = (sync::Arc::clone(&caller), sender.clone());
+        let Some(caller) = turn.next().cloned() else { break };
+        let sender = sender.clone();
         tasks.spawn(async move {
             let outcome = match tokio::time::timeout(answer_max, caller.search(&call)).await {
                 Ok(result) => outcome_of(result, intended.elapsed()),
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -80,15 +80,14 @@
     /// searcher which is given up still end.
     pub fn follow(
         &self,
-        peers: &peers::Peers,
+        owners: &peers::Owners,
         directory: &peers::Directory,
         limits: impl Fn(&ids::ServiceName) -> Option<searcher::Limits>,
     ) {
         let mut next = Vec::new();
         let known = self.all();
         for listed in directory.all() {
-            let owner = peers.owner(&listed.place, &listed.searcher);
-            if owner.is_none_or(|owner| owner.instance != self.me) {
+            if owners.find(&listed.searcher) != Some(&self.me) {
                 continue;
             }
             let Some(limits) = limits(&listed.service) else {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -73,6 +73,42 @@
     }
 }
 
+/// The owner of each searcher, sorted by searcher: worked out once for each change of the views.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Owners {
+    owners: Vec<Owned>,
+}
+
+/// A searcher and its owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Owned {
+    /// The searcher.
+    pub searcher: ids::SearcherName,
+    /// Its owner.
+    pub owner: ids::InstanceName,
+}
+
+impl Owners {
+    /// The owners in these views.
+    pub fn new(peers: &Peers, directory: &Directory) -> Self {
+        let mut owners = Vec::with_capacity(directory.all().len());
+        for listed in directory.all() {
+            let Some(owner) = peers.owner(&listed.place, &listed.searcher) else {
+                continue;
+            };
+            let (searcher, owner) = (listed.searcher.clone(), owner.instance.clone());
+            owners.push(Owned { searcher, owner });
+        }
+        Self { owners }
+    }
+
+    /// The owner of a searcher.
+    pub fn find(&self, searcher: &ids::SearcherName) -> Option<&ids::InstanceName> {
+        let index = self.owners.binary_search_by(|owned| owned.searcher.cmp(searcher)).ok()?;
+        self.owners.get(index).map(|owned| &owned.owner)
+    }
+}
+
 /// The weight of `member` for `key` in rendezvous hashing; the highest wins.
 pub fn rendezvous_weight(member: &str, key: &str) -> u64 {
     let seed = xxhash_rust::xxh3::xxh3_64(member.as_bytes());
@@ -178,6 +214,8 @@
     pub peers: arc_swap::ArcSwap<Peers>,
     /// The searchers.
     pub directory: arc_swap::ArcSwap<Directory>,
+    /// Who owns them.
+    pub owners: arc_swap::ArcSwap<Owners>,
     /// The platform's list as last read, here or by another instance.
     pub list: arc_swap::ArcSwapOption<platform_api::InstanceList>,
 }
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -149,7 +149,7 @@
     own.set(server).unwrap();
     let caller = sync::Arc::new(caller::Caller::new(vec![server], None, None).unwrap());
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    runtime.block_on(runner::run(caller, plan, show)).unwrap()
+    runtime.block_on(runner::run(&[caller], plan, show)).unwrap()
 }
 
 fn short(rate_per_s: f64) -> load::Plan {
