--- a/src/attempts.rs
+++ b/src/attempts.rs
@@ -1,6 +1,7 @@
 //! The attempts that this instance waits for, whichever link their outcomes come over.
 
 use crate::ids;
+use crate::locks;
 use crate::peer_api;
 use std::sync;
 
@@ -93,7 +94,7 @@
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, Vec<Waiting>> {
-        self.waiting.lock().unwrap_or_else(sync::PoisonError::into_inner)
+        locks::lock(&self.waiting)
     }
 }
 
--- a/src/connection.rs
+++ b/src/connection.rs
@@ -3,6 +3,7 @@
 //! `volo-http`'s client limits only its idle connections and does not say whether a failed request
 //! had left, so these connections stand on `hyper`, which it is built on.
 
+use crate::locks;
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::client::conn::http1;
@@ -181,7 +182,7 @@
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, Pool> {
-        self.pool.lock().unwrap_or_else(sync::PoisonError::into_inner)
+        locks::lock(&self.pool)
     }
 
     fn request(&self, call: Call) -> Result<http::Request<Body>, CallError> {
--- a/src/drive.rs
+++ b/src/drive.rs
@@ -6,6 +6,7 @@
 use crate::entry;
 use crate::holdings;
 use crate::ids;
+use crate::locks;
 use crate::owner;
 use crate::peer_api;
 use crate::query;
@@ -367,5 +368,5 @@
 }
 
 fn lock(traffic: &traffic::Shared) -> sync::MutexGuard<'_, traffic::Traffic> {
-    traffic.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    locks::lock(traffic)
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -10,6 +10,7 @@
 use crate::home;
 use crate::ids;
 use crate::link;
+use crate::locks;
 use crate::metrics;
 use crate::owner;
 use crate::peer_api;
@@ -264,7 +265,7 @@
         let hedge_percent =
             self.settings.load().service(service).map_or(0, |policy| policy.hedge_percent);
         if let Some(route) = self.routes.load().find(service) {
-            let mut traffic = shared.lock().unwrap_or_else(sync::PoisonError::into_inner);
+            let mut traffic = locks::lock(&shared);
             traffic.follow(&route.searchers, hedge_percent);
         }
         shared
--- /dev/null
+++ b/src/health.rs
@@ -0,0 +1,111 @@
+//! What an owner makes of its searcher's word: a state machine without sockets or a clock.
+//!
+//! Status answers lag and mislead. What a searcher says with a reply or a refusal is believed over them.
+
+use crate::peer_api;
+use crate::peers;
+use crate::searcher_api;
+use crate::snapshot;
+
+/// After how many failed probes in a row a searcher counts as unreachable.
+const PROBE_FAILURES_MAX: u32 = 2;
+
+/// How long a searcher that has said to be leaving gets no work while its status says that it is ready.
+/// It is believed sooner after a sign of a restart.
+pub const DRAINING_HOLD_MS: u64 = 600_000;
+
+/// What is known of a searcher's health and holdings.
+#[derive(Debug)]
+pub struct Watch {
+    health: peer_api::Health,
+    holdings: Vec<snapshot::Holding>,
+    failures: u32,
+    draining_until_ms: u64,
+    reported: Option<peer_api::SearcherReport>,
+}
+
+impl Default for Watch {
+    fn default() -> Self {
+        Self {
+            health: peer_api::Health::Starting,
+            holdings: Vec::new(),
+            failures: 0,
+            draining_until_ms: 0,
+            reported: None,
+        }
+    }
+}
+
+impl Watch {
+    /// Where the searcher is in its life.
+    pub fn health(&self) -> peer_api::Health {
+        self.health
+    }
+
+    /// The last report.
+    pub fn reported(&self) -> Option<&peer_api::SearcherReport> {
+        self.reported.as_ref()
+    }
+
+    /// The searcher has said, with a reply or a refusal, that it is leaving.
+    pub fn said_draining(&mut self, now_ms: u64) {
+        self.health = peer_api::Health::Draining;
+        self.draining_until_ms = now_ms + DRAINING_HOLD_MS;
+    }
+
+    /// Takes in a status, or that there was none. Returns a report if something has changed, or if
+    /// another owner's observation is newer than the last report.
+    pub fn observe(
+        &mut self,
+        now_ms: u64,
+        listed: &peers::ListedSearcher,
+        status: Option<searcher_api::StatusReply>,
+        known_observation: u64,
+    ) -> Option<peer_api::SearcherReport> {
+        match status {
+            None => self.failed(),
+            Some(status) => self.said(now_ms, listed.leaving, status),
+        }
+        let unchanged = self.reported.as_ref().is_some_and(|reported| {
+            reported.observation >= known_observation
+                && reported.health == self.health
+                && reported.holdings == self.holdings
+        });
+        if unchanged {
+            return None;
+        }
+        let report = peer_api::SearcherReport {
+            searcher: listed.searcher.clone(),
+            service: listed.service.clone(),
+            observation: known_observation + 1,
+            health: self.health,
+            holdings: self.holdings.clone(),
+        };
+        self.reported = Some(report.clone());
+        Some(report)
+    }
+
+    fn failed(&mut self) {
+        self.failures += 1;
+        self.draining_until_ms = 0;
+        if self.failures >= PROBE_FAILURES_MAX {
+            self.health = peer_api::Health::Unreachable;
+        }
+    }
+
+    fn said(&mut self, now_ms: u64, leaving: bool, status: searcher_api::StatusReply) {
+        let held = now_ms < self.draining_until_ms;
+        self.failures = 0;
+        self.holdings = status.holdings;
+        if status.state != searcher_api::SearcherState::Ready {
+            // From here on the status is no older than the drain, so that it can end the hold.
+            self.draining_until_ms = 0;
+        }
+        self.health = match status.state {
+            _ if held || leaving => peer_api::Health::Draining,
+            searcher_api::SearcherState::Draining => peer_api::Health::Draining,
+            searcher_api::SearcherState::Starting => peer_api::Health::Starting,
+            searcher_api::SearcherState::Ready => peer_api::Health::Ready,
+        };
+    }
+}
--- a/src/home.rs
+++ b/src/home.rs
@@ -7,6 +7,7 @@
 use crate::key;
 use crate::ledger;
 use crate::link;
+use crate::locks;
 use crate::peer_api;
 use crate::peers;
 use crate::rank;
@@ -60,11 +61,11 @@
     }
 
     fn ledger(&self) -> sync::MutexGuard<'_, ledger::Ledger> {
-        self.ledger.lock().unwrap_or_else(sync::PoisonError::into_inner)
+        locks::lock(&self.ledger)
     }
 
     fn running(&self) -> sync::MutexGuard<'_, Vec<Running>> {
-        self.running.lock().unwrap_or_else(sync::PoisonError::into_inner)
+        locks::lock(&self.running)
     }
 
     /// How many requests the ledger knows, and how many of them are not settled.
--- a/src/link.rs
+++ b/src/link.rs
@@ -6,6 +6,7 @@
 use crate::attempts;
 use crate::frame;
 use crate::ids;
+use crate::locks;
 use crate::peer_api;
 use crate::peers;
 use crate::seal;
@@ -133,7 +134,7 @@
     ///
     /// When nothing was sent.
     pub fn send(&self, peer: &ids::InstanceName, frame: peer_api::Frame) -> Result<(), SendError> {
-        let up = read(&self.up);
+        let up = locks::read(&self.up);
         let Some(link) = find(&up, peer) else {
             return Err(SendError::NoLink);
         };
@@ -154,11 +155,11 @@
         let id = self.next_request.fetch_add(1, sync::atomic::Ordering::Relaxed);
         let (sender, receiver) = tokio::sync::oneshot::channel();
         let pending = {
-            let up = read(&self.up);
+            let up = locks::read(&self.up);
             let Some(link) = find(&up, peer) else {
                 return Err(RequestError::NotSent(SendError::NoLink));
             };
-            lock(&link.pending).push(Pending { id, sender });
+            locks::lock(&link.pending).push(Pending { id, sender });
             if link.sender.try_send(peer_api::Frame::Request { id, request }).is_err() {
                 forget(&link.pending, id);
                 return Err(RequestError::NotSent(SendError::QueueFull));
@@ -179,7 +180,7 @@
 
     /// The boot of the peer at the other end of the link, if there is one.
     pub fn peer_boot(&self, peer: &ids::InstanceName) -> Option<ids::BootId> {
-        let up = read(&self.up);
+        let up = locks::read(&self.up);
         find(&up, peer).map(|link| link.boot)
     }
 
@@ -190,12 +191,12 @@
 
     /// How many dialled links are up.
     pub fn up_count(&self) -> usize {
-        read(&self.up).len()
+        locks::read(&self.up).len()
     }
 
     /// Sends a frame to each instance that has dialled this one.
     pub fn broadcast(&self, frame: &peer_api::Frame) {
-        let mut accepted = lock(&self.accepted);
+        let mut accepted = locks::lock(&self.accepted);
         accepted.retain(|sender| !sender.is_closed());
         for sender in accepted.iter() {
             if sender.try_send(frame.clone()).is_err() {
@@ -206,7 +207,7 @@
 
     /// Dials each peer of the view that is not dialled yet and gives up those that left it.
     pub fn follow(self: &sync::Arc<Self>, view: &peers::Peers, serve: &sync::Arc<impl Serve>) {
-        let mut dialling = lock(&self.dialling);
+        let mut dialling = locks::lock(&self.dialling);
         dialling.retain(|dialled| {
             let kept =
                 view.find(&dialled.peer).is_some_and(|peer| peer.peer_address == dialled.address);
@@ -321,7 +322,7 @@
             tokio::time::timeout(DIAL_TIMEOUT, shaking).await.map_err(|_| timed_out())??;
         let peer = shaken.peer.instance.clone();
         let (sender, receiver) = tokio::sync::mpsc::channel(QUEUE_FRAMES);
-        lock(&self.accepted).push(sender.clone());
+        locks::lock(&self.accepted).push(sender.clone());
         serve.opened(&peer, &sender);
         let (reader, writer) = stream.into_split();
         let writing = write_frames(writer, shaken.outgoing, receiver, &self.traffic);
@@ -332,7 +333,7 @@
             ended = reading => ended,
             ended = writing => ended,
         };
-        lock(&self.accepted).retain(|accepted| !accepted.same_channel(&sender));
+        locks::lock(&self.accepted).retain(|accepted| !accepted.same_channel(&sender));
         ended
     }
 
@@ -370,7 +371,7 @@
     }
 
     fn up(&self, link: Link) {
-        let mut up = write(&self.up);
+        let mut up = locks::write(&self.up);
         match up.binary_search_by(|known| known.peer.cmp(&link.peer)) {
             Ok(index) => {
                 if let Some(known) = up.get_mut(index) {
@@ -382,7 +383,7 @@
     }
 
     fn down(&self, peer: &ids::InstanceName) {
-        write(&self.up).retain(|link| link.peer != *peer);
+        locks::write(&self.up).retain(|link| link.peer != *peer);
         self.attempts.fail_owner(peer);
     }
 }
@@ -398,7 +399,7 @@
 }
 
 fn answer(pending: &sync::Mutex<Vec<Pending>>, id: u64, reply: peer_api::Reply) {
-    let mut pending = lock(pending);
+    let mut pending = locks::lock(pending);
     let Some(index) = pending.iter().position(|waiting| waiting.id == id) else {
         return;
     };
@@ -409,7 +410,7 @@
 }
 
 fn forget(pending: &sync::Mutex<Vec<Pending>>, id: u64) {
-    lock(pending).retain(|waiting| waiting.id != id);
+    locks::lock(pending).retain(|waiting| waiting.id != id);
 }
 
 async fn write_frames(
@@ -459,15 +460,3 @@
     let index = links.binary_search_by(|link| link.peer.cmp(peer)).ok()?;
     links.get(index)
 }
-
-fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
-
-fn read<T>(lock: &sync::RwLock<T>) -> sync::RwLockReadGuard<'_, T> {
-    lock.read().unwrap_or_else(sync::PoisonError::into_inner)
-}
-
-fn write<T>(lock: &sync::RwLock<T>) -> sync::RwLockWriteGuard<'_, T> {
-    lock.write().unwrap_or_else(sync::PoisonError::into_inner)
-}
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -3,6 +3,7 @@
 use crate::attempts;
 use crate::ids;
 use crate::link;
+use crate::locks;
 use crate::peer_api;
 use crate::peers;
 use crate::searcher;
@@ -103,7 +104,7 @@
             }
         }
         self.part(&known, &next);
-        *write(&self.owned) = next;
+        *locks::write(&self.owned) = next;
     }
 
     /// Keeps searchers that are given up to another owner for a while.
@@ -113,7 +114,7 @@
         next: &[sync::Arc<searcher::Searcher>],
     ) {
         let now = tokio::time::Instant::now();
-        let mut parting = lock(&self.parting);
+        let mut parting = locks::lock(&self.parting);
         parting.retain(|parting| parting.until > now);
         for searcher in known {
             if find(next, &searcher.listed().searcher).is_some() {
@@ -125,12 +126,12 @@
 
     /// Whether no call of a query runs.
     pub fn is_idle(&self) -> bool {
-        lock(&self.running).is_empty()
+        locks::lock(&self.running).is_empty()
     }
 
     /// The searchers owned, sorted by name.
     pub fn all(&self) -> Vec<sync::Arc<searcher::Searcher>> {
-        read(&self.owned).clone()
+        locks::read(&self.owned).clone()
     }
 
     /// Makes the calls of a query; each outcome goes to `reply_to`.
@@ -183,12 +184,12 @@
     ) {
         let attempt = want.attempt;
         let (cancel, cancelled) = tokio::sync::oneshot::channel();
-        lock(&self.running).push(Running { attempt, cancel });
+        locks::lock(&self.running).push(Running { attempt, cancel });
         let outcome = tokio::select! {
             outcome = owned.search(want, request, traceparent) => outcome,
             _ = cancelled => peer_api::ShardOutcome::Failed(peer_api::Failure::Cancelled),
         };
-        lock(&self.running).retain(|running| running.attempt != attempt);
+        locks::lock(&self.running).retain(|running| running.attempt != attempt);
         let searcher = owned.listed().searcher.clone();
         let load = Some(owned.load());
         reply_to.send(peer_api::ShardReply { attempt, searcher, outcome, load });
@@ -196,7 +197,7 @@
 
     /// Gives up calls.
     pub fn cancel(&self, attempts: &[ids::AttemptId]) {
-        let mut running = lock(&self.running);
+        let mut running = locks::lock(&self.running);
         let mut index = 0;
         while let Some(entry) = running.get(index) {
             if !attempts.contains(&entry.attempt) {
@@ -250,7 +251,7 @@
     /// The last report on each owned searcher.
     pub fn reports(&self) -> Vec<peer_api::SearcherReport> {
         let mut reports = Vec::new();
-        for owned in read(&self.owned).iter() {
+        for owned in locks::read(&self.owned).iter() {
             reports.extend(owned.report());
         }
         reports
@@ -258,16 +259,16 @@
 
     /// Refuses the calls that wait in vain.
     pub fn tick(&self) {
-        for owned in read(&self.owned).iter() {
+        for owned in locks::read(&self.owned).iter() {
             owned.tick();
         }
     }
 
     fn find(&self, searcher: &ids::SearcherName) -> Option<sync::Arc<searcher::Searcher>> {
-        if let Some(owned) = find(&read(&self.owned), searcher) {
+        if let Some(owned) = find(&locks::read(&self.owned), searcher) {
             return Some(owned.clone());
         }
-        let parting = lock(&self.parting);
+        let parting = locks::lock(&self.parting);
         let found = parting.iter().rev().find(|parting| {
             parting.searcher.listed().searcher == *searcher
                 && parting.until > tokio::time::Instant::now()
@@ -287,15 +288,3 @@
     let index = owned.binary_search_by(|o| o.listed().searcher.cmp(searcher)).ok()?;
     owned.get(index)
 }
-
-fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
-
-fn read<T>(lock: &sync::RwLock<T>) -> sync::RwLockReadGuard<'_, T> {
-    lock.read().unwrap_or_else(sync::PoisonError::into_inner)
-}
-
-fn write<T>(lock: &sync::RwLock<T>) -> sync::RwLockWriteGuard<'_, T> {
-    lock.write().unwrap_or_else(sync::PoisonError::into_inner)
-}
--- a/src/searcher.rs
+++ b/src/searcher.rs
@@ -1,15 +1,17 @@
 //! One searcher at its owner: its slots, connections, health and holdings.
 
 use crate::admit;
+use crate::clock;
 use crate::connection;
+use crate::health;
 use crate::ids;
+use crate::locks;
 use crate::peer_api;
 use crate::peers;
 use crate::policy;
 use crate::rank;
 use crate::searcher_api;
 use crate::slots;
-use crate::snapshot;
 use crate::trace;
 use std::sync;
 use std::time;
@@ -18,13 +20,6 @@
 /// How long a status may take.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 
-/// After how many failed probes in a row a searcher counts as unreachable.
-const PROBE_FAILURES_MAX: u32 = 2;
-
-/// How long a searcher that has said to be leaving gets no work while its status says that it is ready:
-/// the status may lag or mislead. It is believed sooner after a sign of a restart.
-const DRAINING_HOLD: time::Duration = time::Duration::from_secs(600);
-
 /// The service time assumed before the first one is seen, in microseconds.
 const SERVICE_GUESS_US: u64 = 5_000;
 
@@ -44,15 +39,6 @@
     pub policy: policy::Policy,
 }
 
-#[derive(Debug)]
-struct Observed {
-    health: peer_api::Health,
-    holdings: Vec<snapshot::Holding>,
-    failures: u32,
-    draining_until: Option<tokio::time::Instant>,
-    reported: Option<peer_api::SearcherReport>,
-}
-
 /// Tells a waiting call to start, or why not.
 type GoSender = tokio::sync::oneshot::Sender<Result<(), peer_api::Failure>>;
 type GoReceiver = tokio::sync::oneshot::Receiver<Result<(), peer_api::Failure>>;
@@ -87,8 +73,7 @@
     limits: Limits,
     connections: connection::Connections,
     queue: sync::Mutex<Queue>,
-    observed: sync::Mutex<Observed>,
-    started: time::Instant,
+    watch: sync::Mutex<health::Watch>,
 }
 
 /// A call's place at a searcher: first in the queue, then in a slot. It is given back when dropped.
@@ -116,16 +101,13 @@
         };
         let queue = Queue {
             slots: slots::Slots::new(limits.policy, slot_limits),
-            admission: admit::Controller::new(0, limits.floors_percent, SERVICE_GUESS_US),
+            admission: admit::Controller::new(
+                clock::now_us(),
+                limits.floors_percent,
+                SERVICE_GUESS_US,
+            ),
             waiting: Vec::new(),
         };
-        let observed = Observed {
-            health: peer_api::Health::Starting,
-            holdings: Vec::new(),
-            failures: 0,
-            draining_until: None,
-            reported: None,
-        };
         Self {
             connections: connection::Connections::new(
                 listed.address,
@@ -134,8 +116,7 @@
             listed,
             limits,
             queue: sync::Mutex::new(queue),
-            observed: sync::Mutex::new(observed),
-            started: time::Instant::now(),
+            watch: sync::Mutex::default(),
         }
     }
 
@@ -156,13 +137,13 @@
 
     /// The last report on it.
     pub fn report(&self) -> Option<peer_api::SearcherReport> {
-        lock(&self.observed).reported.clone()
+        locks::lock(&self.watch).reported().cloned()
     }
 
     /// Its load, as its owner sees it.
     pub fn load(&self) -> peer_api::OwnerLoad {
         let now_us = self.now_us();
-        let mut queue = lock(&self.queue);
+        let mut queue = locks::lock(&self.queue);
         let usable = queue.slots.usable_slots();
         let queued = queue.slots.queued_by_rank();
         peer_api::OwnerLoad {
@@ -177,7 +158,7 @@
     /// Refuses the calls that wait in vain.
     pub fn tick(&self) {
         let now_us = self.now_us();
-        let mut queue = lock(&self.queue);
+        let mut queue = locks::lock(&self.queue);
         if queue.waiting.is_empty() {
             return;
         }
@@ -260,16 +241,17 @@
     /// Asks for the status and takes it in. Returns the new report if something has changed.
     pub async fn probe(&self, known_observation: u64) -> Option<peer_api::SearcherReport> {
         let status = self.status().await;
-        self.observe(status, known_observation)
+        let now_ms = self.now_us() / 1_000;
+        locks::lock(&self.watch).observe(now_ms, &self.listed, status, known_observation)
     }
 
     fn now_us(&self) -> u64 {
-        self.started.elapsed().as_micros() as u64
+        clock::now_us()
     }
 
     /// Waits for a slot.
     async fn hold(&self, want: Want) -> Result<Held<'_>, peer_api::Failure> {
-        if lock(&self.observed).health == peer_api::Health::Draining {
+        if locks::lock(&self.watch).health() == peer_api::Health::Draining {
             return Err(peer_api::Failure::Refused(searcher_api::Refusal::Draining));
         }
         let (mut held, receiver) = self.offer(want)?;
@@ -291,7 +273,7 @@
             rank: want.rank,
             deadline_us: now_us + left.as_micros() as u64,
         };
-        let mut queue = lock(&self.queue);
+        let mut queue = locks::lock(&self.queue);
         queue.admission.offered(now_us, want.rank, want.weight);
         let verdict = queue.slots.offer(now_us, ticket);
         let outcome = slots::Outcome::Failed;
@@ -310,7 +292,7 @@
 
     fn give_back(&self, want: Want, started_us: u64, outcome: slots::Outcome) {
         let now_us = self.now_us();
-        let mut queue = lock(&self.queue);
+        let mut queue = locks::lock(&self.queue);
         queue.waiting.retain(|waiting| waiting.attempt != want.attempt);
         match queue.slots.cancel(now_us, want.attempt) {
             slots::Cancelled::Dropped | slots::Cancelled::Unknown => {}
@@ -364,58 +346,7 @@
     }
 
     fn note_draining(&self) {
-        let mut observed = lock(&self.observed);
-        observed.health = peer_api::Health::Draining;
-        observed.draining_until = Some(tokio::time::Instant::now() + DRAINING_HOLD);
-    }
-
-    fn observe(
-        &self,
-        status: Option<searcher_api::StatusReply>,
-        known_observation: u64,
-    ) -> Option<peer_api::SearcherReport> {
-        let mut observed = lock(&self.observed);
-        let held = observed.draining_until.is_some_and(|until| tokio::time::Instant::now() < until);
-        match status {
-            None => {
-                observed.failures += 1;
-                observed.draining_until = None;
-                if observed.failures >= PROBE_FAILURES_MAX {
-                    observed.health = peer_api::Health::Unreachable;
-                }
-            }
-            Some(status) => {
-                observed.failures = 0;
-                observed.holdings = status.holdings;
-                if status.state != searcher_api::SearcherState::Ready {
-                    // From here on the status is no older than the drain, so that it can end the hold.
-                    observed.draining_until = None;
-                }
-                observed.health = match status.state {
-                    _ if held || self.listed.leaving => peer_api::Health::Draining,
-                    searcher_api::SearcherState::Draining => peer_api::Health::Draining,
-                    searcher_api::SearcherState::Starting => peer_api::Health::Starting,
-                    searcher_api::SearcherState::Ready => peer_api::Health::Ready,
-                };
-            }
-        }
-        let unchanged = observed.reported.as_ref().is_some_and(|reported| {
-            reported.observation >= known_observation
-                && reported.health == observed.health
-                && reported.holdings == observed.holdings
-        });
-        if unchanged {
-            return None;
-        }
-        let report = peer_api::SearcherReport {
-            searcher: self.listed.searcher.clone(),
-            service: self.listed.service.clone(),
-            observation: known_observation + 1,
-            health: observed.health,
-            holdings: observed.holdings.clone(),
-        };
-        observed.reported = Some(report.clone());
-        Some(report)
+        locks::lock(&self.watch).said_draining(self.now_us() / 1_000);
     }
 }
 
@@ -470,7 +401,3 @@
         connection::CallError::Lost(_) => peer_api::Failure::Lost,
     }
 }
-
-fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
--- a/src/spreader.rs
+++ b/src/spreader.rs
@@ -1,5 +1,10 @@
 //! The duty of the settings' spread: runs [`spread::Spread`] and does what it says.
 
+mod calls;
+mod handle;
+
+pub use handle::{Busy, Declaration, Handle, Inbox, Known, Said, channel};
+
 use crate::document;
 use crate::entry;
 use crate::events::Event;
@@ -8,10 +13,10 @@
 use crate::member::machine;
 use crate::operator_api;
 use crate::peer_api;
-use crate::plan;
 use crate::platform;
 use crate::spread;
 use crate::spread::api;
+use handle::Command;
 use std::net;
 use std::sync;
 use std::time;
@@ -29,134 +34,8 @@
 /// How long another instance may take to answer with a document.
 const FETCH_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 
-const COMMANDS_QUEUE: usize = 1_024;
 const EVENTS_QUEUE: usize = 4_096;
 
-/// What the other duties ask of this one.
-enum Command {
-    Listed(Vec<ids::InstanceName>),
-    FetchAsked(api::FetchCall, oneshot::Sender<api::FetchReply>),
-    Declare(Declaration, oneshot::Sender<Result<operator_api::Plan, api::DeclareError>>),
-    Confirm(plan::PlanId, u32, oneshot::Sender<operator_api::ConfirmReply>),
-    Answered(api::Input),
-}
-
-/// Settings that an operator declares.
-pub struct Declaration {
-    /// The settings.
-    pub document: sync::Arc<document::Document>,
-    /// What the check warned of.
-    pub warnings: Vec<operator_api::Finding>,
-}
-
-/// The duty is busy or gone; nothing was changed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("the settings' duty does not answer")]
-pub struct Busy;
-
-/// What an instance has said to have in force.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Said {
-    /// The instance.
-    pub instance: ids::InstanceName,
-    /// Its boot.
-    pub boot: ids::BootId,
-    /// The revision.
-    pub revision: ids::Revision,
-}
-
-/// What this instance knows of the settings' spread.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Known {
-    /// The revision in force here.
-    pub in_force: ids::Revision,
-    /// The newest revision known to be committed.
-    pub newest: ids::Revision,
-    /// What the others have said, sorted by instance.
-    pub said: Vec<Said>,
-}
-
-/// Hands work to the duty.
-#[derive(Clone)]
-pub struct Handle {
-    commands: mpsc::Sender<Command>,
-    known: sync::Arc<arc_swap::ArcSwap<Known>>,
-}
-
-/// The duty's end of the handle.
-pub struct Inbox {
-    commands: mpsc::Receiver<Command>,
-    sender: mpsc::Sender<Command>,
-    known: sync::Arc<arc_swap::ArcSwap<Known>>,
-}
-
-/// A handle and the inbox that a duty is to be run with.
-pub fn channel() -> (Handle, Inbox) {
-    let (sender, commands) = mpsc::channel(COMMANDS_QUEUE);
-    let known: sync::Arc<arc_swap::ArcSwap<Known>> = sync::Arc::default();
-    let handle = Handle { commands: sender.clone(), known: known.clone() };
-    (handle, Inbox { commands, sender, known })
-}
-
-impl Handle {
-    /// What is known of the spread.
-    pub fn known(&self) -> sync::Arc<Known> {
-        self.known.load_full()
-    }
-
-    /// Hands in the instances on the platform's list.
-    ///
-    /// # Errors
-    ///
-    /// When the duty is busy; the next list will do.
-    pub fn listed(&self, names: Vec<ids::InstanceName>) -> Result<(), Busy> {
-        self.commands.try_send(Command::Listed(names)).map_err(|_| Busy)
-    }
-
-    /// Answers another instance that asks for a document.
-    ///
-    /// # Errors
-    ///
-    /// When the duty is gone.
-    pub async fn fetch_asked(&self, call: api::FetchCall) -> Result<api::FetchReply, Busy> {
-        let (sender, receiver) = oneshot::channel();
-        let sent = self.commands.send(Command::FetchAsked(call, sender)).await;
-        sent.map_err(|_| Busy)?;
-        receiver.await.map_err(|_| Busy)
-    }
-
-    /// Makes a plan of declared settings.
-    ///
-    /// # Errors
-    ///
-    /// When the duty is gone, or there is no plan.
-    pub async fn declare(
-        &self,
-        declaration: Declaration,
-    ) -> Result<Result<operator_api::Plan, api::DeclareError>, Busy> {
-        let (sender, receiver) = oneshot::channel();
-        let sent = self.commands.send(Command::Declare(declaration, sender)).await;
-        sent.map_err(|_| Busy)?;
-        receiver.await.map_err(|_| Busy)
-    }
-
-    /// Confirms a plan.
-    ///
-    /// # Errors
-    ///
-    /// When the duty is gone.
-    pub async fn confirm(
-        &self,
-        plan: plan::PlanId,
-        wait_ms: u32,
-    ) -> Result<operator_api::ConfirmReply, Busy> {
-        let (sender, receiver) = oneshot::channel();
-        let sent = self.commands.send(Command::Confirm(plan, wait_ms, sender)).await;
-        sent.map_err(|_| Busy)?;
-        receiver.await.map_err(|_| Busy)
-    }
-}
-
 struct Waiting<T> {
     id: u64,
     sender: oneshot::Sender<T>,
@@ -396,7 +275,7 @@
         let platform = self.platform.clone();
         let sender = self.sender.clone();
         tokio::spawn(async move {
-            let reply = ask_platform(&platform, call).await;
+            let reply = calls::ask(&platform, call).await;
             let answered = Command::Answered(api::Input::Platform { request, reply });
             if sender.send(answered).await.is_err() {
                 tracing::debug!("the duty is gone");
@@ -458,42 +337,3 @@
     let document = document::DocumentHash::from_bytes(note.hash);
     Some(api::Version { revision: note.revision, document })
 }
-
-async fn ask_platform(
-    platform: &platform::Platform,
-    call: api::PlatformCall,
-) -> api::PlatformReply {
-    match call {
-        api::PlatformCall::Get(key) => match platform.get(&key.to_string()).await {
-            Ok(Some(entry)) => found(entry),
-            Ok(None) => api::PlatformReply::Absent,
-            Err(error) => failed(&error),
-        },
-        api::PlatformCall::Put { key, expected, value } => {
-            match platform.swap(&key.to_string(), expected, value).await {
-                Ok(platform::Swap::Written(store_revision)) => {
-                    api::PlatformReply::Written { store_revision }
-                }
-                Ok(platform::Swap::Conflict(_)) => api::PlatformReply::Mismatch,
-                Err(error) => failed(&error),
-            }
-        }
-        api::PlatformCall::Watch { after, wait_ms } => {
-            let wait = time::Duration::from_millis(wait_ms);
-            match platform.watch(&api::Key::Root.to_string(), after, wait).await {
-                Ok(Some(entry)) => found(entry),
-                Ok(None) => api::PlatformReply::Unchanged,
-                Err(error) => failed(&error),
-            }
-        }
-    }
-}
-
-fn found(entry: crate::platform_api::Entry) -> api::PlatformReply {
-    api::PlatformReply::Found { value: entry.value, store_revision: entry.revision }
-}
-
-fn failed(error: &platform::PlatformError) -> api::PlatformReply {
-    crate::event!(debug, Event::PlatformFailed, %error);
-    api::PlatformReply::Failed
-}
--- /dev/null
+++ b/src/spreader/handle.rs
@@ -0,0 +1,136 @@
+//! What the other duties use of the settings' spread.
+
+use crate::document;
+use crate::ids;
+use crate::operator_api;
+use crate::plan;
+use crate::spread::api;
+use std::sync;
+use tokio::sync::{mpsc, oneshot};
+
+const COMMANDS_QUEUE: usize = 1_024;
+
+/// What the other duties ask of this one.
+pub(super) enum Command {
+    Listed(Vec<ids::InstanceName>),
+    FetchAsked(api::FetchCall, oneshot::Sender<api::FetchReply>),
+    Declare(Declaration, oneshot::Sender<Result<operator_api::Plan, api::DeclareError>>),
+    Confirm(plan::PlanId, u32, oneshot::Sender<operator_api::ConfirmReply>),
+    Answered(api::Input),
+}
+
+/// Settings that an operator declares.
+pub struct Declaration {
+    /// The settings.
+    pub document: sync::Arc<document::Document>,
+    /// What the check warned of.
+    pub warnings: Vec<operator_api::Finding>,
+}
+
+/// The duty is busy or gone; nothing was changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the settings' duty does not answer")]
+pub struct Busy;
+
+/// What an instance has said to have in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Said {
+    /// The instance.
+    pub instance: ids::InstanceName,
+    /// Its boot.
+    pub boot: ids::BootId,
+    /// The revision.
+    pub revision: ids::Revision,
+}
+
+/// What this instance knows of the settings' spread.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Known {
+    /// The revision in force here.
+    pub in_force: ids::Revision,
+    /// The newest revision known to be committed.
+    pub newest: ids::Revision,
+    /// What the others have said, sorted by instance.
+    pub said: Vec<Said>,
+}
+
+/// Hands work to the duty.
+#[derive(Clone)]
+pub struct Handle {
+    commands: mpsc::Sender<Command>,
+    known: sync::Arc<arc_swap::ArcSwap<Known>>,
+}
+
+/// The duty's end of the handle.
+pub struct Inbox {
+    pub(super) commands: mpsc::Receiver<Command>,
+    pub(super) sender: mpsc::Sender<Command>,
+    pub(super) known: sync::Arc<arc_swap::ArcSwap<Known>>,
+}
+
+/// A handle and the inbox that a duty is to be run with.
+pub fn channel() -> (Handle, Inbox) {
+    let (sender, commands) = mpsc::channel(COMMANDS_QUEUE);
+    let known: sync::Arc<arc_swap::ArcSwap<Known>> = sync::Arc::default();
+    let handle = Handle { commands: sender.clone(), known: known.clone() };
+    (handle, Inbox { commands, sender, known })
+}
+
+impl Handle {
+    /// What is known of the spread.
+    pub fn known(&self) -> sync::Arc<Known> {
+        self.known.load_full()
+    }
+
+    /// Hands in the instances on the platform's list.
+    ///
+    /// # Errors
+    ///
+    /// When the duty is busy; the next list will do.
+    pub fn listed(&self, names: Vec<ids::InstanceName>) -> Result<(), Busy> {
+        self.commands.try_send(Command::Listed(names)).map_err(|_| Busy)
+    }
+
+    /// Answers another instance that asks for a document.
+    ///
+    /// # Errors
+    ///
+    /// When the duty is gone.
+    pub async fn fetch_asked(&self, call: api::FetchCall) -> Result<api::FetchReply, Busy> {
+        let (sender, receiver) = oneshot::channel();
+        let sent = self.commands.send(Command::FetchAsked(call, sender)).await;
+        sent.map_err(|_| Busy)?;
+        receiver.await.map_err(|_| Busy)
+    }
+
+    /// Makes a plan of declared settings.
+    ///
+    /// # Errors
+    ///
+    /// When the duty is gone, or there is no plan.
+    pub async fn declare(
+        &self,
+        declaration: Declaration,
+    ) -> Result<Result<operator_api::Plan, api::DeclareError>, Busy> {
+        let (sender, receiver) = oneshot::channel();
+        let sent = self.commands.send(Command::Declare(declaration, sender)).await;
+        sent.map_err(|_| Busy)?;
+        receiver.await.map_err(|_| Busy)
+    }
+
+    /// Confirms a plan.
+    ///
+    /// # Errors
+    ///
+    /// When the duty is gone.
+    pub async fn confirm(
+        &self,
+        plan: plan::PlanId,
+        wait_ms: u32,
+    ) -> Result<operator_api::ConfirmReply, Busy> {
+        let (sender, receiver) = oneshot::channel();
+        let sent = self.commands.send(Command::Confirm(plan, wait_ms, sender)).await;
+        sent.map_err(|_| Busy)?;
+        receiver.await.map_err(|_| Busy)
+    }
+}
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -1,5 +1,6 @@
 //! The W3C trace context, and a span for each hop.
 
+use crate::locks;
 use std::fmt;
 use std::num;
 use std::str::FromStr;
@@ -197,7 +198,7 @@
             return context;
         }
         let second = now_ms / 1_000;
-        let mut recorded = self.count.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let mut recorded = locks::lock(&self.count);
         if recorded.second != second {
             *recorded = Recorded { second, traces: 0 };
         }
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -5,6 +5,7 @@
 use crate::hedge;
 use crate::holdings;
 use crate::ids;
+use crate::locks;
 use crate::peer_api;
 use crate::peers;
 use crate::policy;
@@ -273,14 +274,14 @@
     /// The traffic of a service; a new one if there is none yet.
     pub fn of(&self, service: &ids::ServiceName, policy: policy::Policy) -> Shared {
         {
-            let services = self.services.read().unwrap_or_else(sync::PoisonError::into_inner);
+            let services = locks::read(&self.services);
             if let Ok(index) = services.binary_search_by(|(name, _)| name.cmp(service))
                 && let Some((_, shared)) = services.get(index)
             {
                 return shared.clone();
             }
         }
-        let mut services = self.services.write().unwrap_or_else(sync::PoisonError::into_inner);
+        let mut services = locks::write(&self.services);
         let shared = sync::Arc::new(sync::Mutex::new(Traffic::new(policy, 0)));
         match services.binary_search_by(|(name, _)| name.cmp(service)) {
             Ok(index) => services.get(index).map_or(shared, |(_, known)| known.clone()),
@@ -293,20 +294,20 @@
 
     /// Forgets who holds what of these services, since it has changed.
     pub fn forget_layouts(&self, names: &[ids::ServiceName]) {
-        let services = self.services.read().unwrap_or_else(sync::PoisonError::into_inner);
+        let services = locks::read(&self.services);
         for (service, shared) in services.iter() {
             if names.binary_search(service).is_err() {
                 continue;
             }
-            shared.lock().unwrap_or_else(sync::PoisonError::into_inner).forget_layout();
+            locks::lock(shared).forget_layout();
         }
     }
 
     /// Forgets who holds what, since searchers have come or gone.
     pub fn forget_all_layouts(&self) {
-        let services = self.services.read().unwrap_or_else(sync::PoisonError::into_inner);
+        let services = locks::read(&self.services);
         for (_, shared) in services.iter() {
-            shared.lock().unwrap_or_else(sync::PoisonError::into_inner).forget_layout();
+            locks::lock(shared).forget_layout();
         }
     }
 }
@@ -352,7 +353,7 @@
         if std::mem::take(&mut self.denied) {
             return Vec::new();
         }
-        let traffic = self.traffic.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let traffic = locks::lock(&self.traffic);
         let mut chosen: Vec<(ids::SearcherName, Vec<ids::ShardId>)> = Vec::new();
         if let Some(plan) = self.planned.take() {
             for call in plan.calls {
