Read over: dead code out, one check of a caller's call, hedges ask about one attempt

Cause: the whole change was read once more. - The two handlers of callers' calls repeated the check and the reading of the body; both call call_of now. - For each outcome a query listed its open attempts with their searchers' names, to look up one; now it asks about the one. With that the query's state machine needs no time, and its now_ms arguments go. - Never called: Connections::drop_idle, Record::same_life, Phase::length_s, Cause::error_code. The query's test asked how many attempts wait for a hedge; it now asks which, and expects just the slow one. Behaviour as before.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -129,13 +129,6 @@
         self.lock().open
     }
 
-    /// Drops all idle connections, for instance because one has gone silent.
-    pub fn drop_idle(&self) {
-        let mut pool = self.lock();
-        pool.open -= pool.idle.len();
-        pool.idle.clear();
-    }
-
     /// Sends `call` and waits for the whole answer, `timeout` at most.
     ///
     /// # Errors
--- a/src/drive.rs
+++ b/src/drive.rs
@@ -102,7 +102,7 @@
         };
         running.probe(&admitted);
         let routed = traffic::Routed::new(self.traffic.clone(), admitted);
-        let (query, outputs) = query::Query::start(self.node.now_ms(), terms, routed);
+        let (query, outputs) = query::Query::start(terms, routed);
         running.drive(query, outputs, receiver).await
     }
 }
@@ -150,16 +150,15 @@
             }
         }
         query.choose_mut().now_us = now_us;
-        query.reply(self.start.node.now_ms(), reply)
+        query.reply(reply)
     }
 
     /// When the next call is overdue.
     fn next_hedge(&self, query: &query::Query<traffic::Routed>) -> Option<tokio::time::Instant> {
         let delay_us = lock(&self.start.traffic).hedge_delay_us(self.start.call.rank)?;
-        let open = query.slow_attempts(u64::MAX);
         let mut oldest_us: Option<u64> = None;
         for sent in &self.sent {
-            if !open.iter().any(|open| open.attempt == sent.attempt) {
+            if !query.awaits_hedge(sent.attempt) {
                 continue;
             }
             oldest_us = Some(oldest_us.map_or(sent.looked_us, |oldest| oldest.min(sent.looked_us)));
@@ -175,11 +174,10 @@
         let Some(delay_us) = lock(&self.start.traffic).hedge_delay_us(self.start.call.rank) else {
             return Vec::new();
         };
-        let open = query.slow_attempts(u64::MAX);
         let mut outputs = Vec::new();
         for sent in &mut self.sent {
             let looked_ago_us = now_us.saturating_sub(sent.looked_us);
-            if looked_ago_us < delay_us || !open.iter().any(|open| open.attempt == sent.attempt) {
+            if looked_ago_us < delay_us || !query.awaits_hedge(sent.attempt) {
                 continue;
             }
             sent.looked_us = now_us;
@@ -194,7 +192,7 @@
                 continue;
             }
             query.choose_mut().now_us = now_us;
-            let sends = query.hedge(self.start.node.now_ms(), sent.attempt);
+            let sends = query.hedge(sent.attempt);
             lock(&self.start.traffic).hedged(sends.len() as u32);
             outputs.extend(sends);
         }
--- a/src/http.rs
+++ b/src/http.rs
@@ -70,10 +70,7 @@
     context: trace::TraceContext,
 ) -> response::Response {
     let _open = app.node.gate.enter();
-    if let Err(error) = app.node.may_serve() {
-        return refused(&error);
-    }
-    let call: caller_api::SearchCall = match body(request, caller_api::BODY_MAX_BYTES).await {
+    let call: caller_api::SearchCall = match call_of(app, request).await {
         Ok(call) => call,
         Err(error) => return refused(&error),
     };
@@ -92,6 +89,15 @@
     }
 }
 
+/// A caller's call, if the instance may serve it now.
+async fn call_of<T: serde::de::DeserializeOwned>(
+    app: &App,
+    request: request::Request,
+) -> Result<T, caller_api::ErrorReply> {
+    app.node.may_serve()?;
+    body(request, caller_api::BODY_MAX_BYTES).await
+}
+
 async fn run(utils::Extension(app): Shared, request: request::Request) -> response::Response {
     let context = context(&app, &request);
     let span = trace::span(trace::Hop::Entry, &context);
@@ -104,10 +110,7 @@
     context: trace::TraceContext,
 ) -> response::Response {
     let _open = app.node.gate.enter();
-    if let Err(error) = app.node.may_serve() {
-        return refused(&error);
-    }
-    let call: caller_api::RunCall = match body(request, caller_api::BODY_MAX_BYTES).await {
+    let call: caller_api::RunCall = match call_of(app, request).await {
         Ok(call) => call,
         Err(error) => return refused(&error),
     };
--- a/src/load/tally.rs
+++ b/src/load/tally.rs
@@ -42,21 +42,6 @@
             Phase::After
         }
     }
-
-    /// How long the phase lasts, in seconds.
-    pub fn length_s(self, plan: &load::Plan) -> f64 {
-        let whole_s = plan.duration.as_secs_f64();
-        let (start_s, end_s) = match &plan.flood {
-            Some(flood) => (flood.start.as_secs_f64(), flood.end().as_secs_f64()),
-            None => (whole_s, whole_s),
-        };
-        match self {
-            Phase::WarmUp => plan.warm_up.as_secs_f64(),
-            Phase::Before => start_s,
-            Phase::Flood => end_s - start_s,
-            Phase::After => whole_s - end_s,
-        }
-    }
 }
 
 /// What became of one search.
--- a/src/member.rs
+++ b/src/member.rs
@@ -87,11 +87,6 @@
     pub fn merge(self, other: Record) -> Record {
         self.max(other)
     }
-
-    /// Whether this is the same life of the member: the same boot and incarnation.
-    pub fn same_life(&self, other: &Record) -> bool {
-        self.boot == other.boot && self.incarnation == other.incarnation
-    }
 }
 
 /// The settings revision that an instance has, sent along with each message.
--- a/src/query.rs
+++ b/src/query.rs
@@ -56,7 +56,6 @@
     attempt: ids::AttemptId,
     searcher: ids::SearcherName,
     shards: Vec<ids::ShardId>,
-    sent_at_ms: u64,
     hedged: bool,
     open: bool,
 }
@@ -111,7 +110,7 @@
 
 impl<C: Choose> Query<C> {
     /// Starts a query; the outputs hold its first calls.
-    pub fn start(now_ms: u64, terms: Terms, choose: C) -> (Self, Vec<Output>) {
+    pub fn start(terms: Terms, choose: C) -> (Self, Vec<Output>) {
         let effort = terms.effort;
         let mut query = Self {
             shards: vec![Shard::default(); terms.shard_count as usize],
@@ -126,7 +125,7 @@
             ended: false,
         };
         let all = (0..query.terms.shard_count).map(ids::ShardId).collect();
-        let mut outputs = query.send(now_ms, all);
+        let mut outputs = query.send(all);
         query.effort.calls_needed = query.attempts.len() as u32;
         query.effort.calls_sent += query.attempts.len() as u32;
         query.end_if_settled(&mut outputs);
@@ -134,7 +133,7 @@
     }
 
     /// Takes in the outcome of an attempt.
-    pub fn reply(&mut self, now_ms: u64, reply: peer_api::ShardReply) -> Vec<Output> {
+    pub fn reply(&mut self, reply: peer_api::ShardReply) -> Vec<Output> {
         let mut outputs = Vec::new();
         let Some((searcher, asked)) = self.close(&reply) else {
             self.dropped += 1;
@@ -158,7 +157,7 @@
         };
         let again = self.mark_failed(&searcher, missing);
         if !again.is_empty() {
-            let sends = self.send(now_ms, again);
+            let sends = self.send(again);
             self.effort.retries += sends.len() as u32;
             self.effort.calls_sent += sends.len() as u32;
             outputs.extend(sends);
@@ -169,7 +168,7 @@
 
     /// Asks another searcher too for what an attempt has not answered yet. Does nothing if the
     /// attempt is answered, was hedged before, or no other searcher has its shards.
-    pub fn hedge(&mut self, now_ms: u64, attempt: ids::AttemptId) -> Vec<Output> {
+    pub fn hedge(&mut self, attempt: ids::AttemptId) -> Vec<Output> {
         if self.ended {
             return Vec::new();
         }
@@ -195,7 +194,7 @@
             }
             again.push(shard);
         }
-        let sends = self.send(now_ms, again);
+        let sends = self.send(again);
         self.effort.hedges += sends.len() as u32;
         self.effort.calls_sent += sends.len() as u32;
         sends
@@ -208,16 +207,10 @@
         outputs
     }
 
-    /// Attempts that were sent at or before `sent_by_ms`, are open and were not hedged.
-    pub fn slow_attempts(&self, sent_by_ms: u64) -> Vec<OpenAttempt> {
-        let mut slow = Vec::new();
-        for attempt in &self.attempts {
-            if !attempt.open || attempt.hedged || attempt.sent_at_ms > sent_by_ms {
-                continue;
-            }
-            slow.push(OpenAttempt { attempt: attempt.attempt, searcher: attempt.searcher.clone() });
-        }
-        slow
+    /// Whether an attempt is open and was not hedged.
+    pub fn awaits_hedge(&self, attempt: ids::AttemptId) -> bool {
+        let found = self.attempts.iter().find(|known| known.attempt == attempt);
+        found.is_some_and(|known| known.open && !known.hedged)
     }
 
     /// Answers that came for attempts that were closed, or were never made.
@@ -235,7 +228,7 @@
         self.terms.first_attempt + self.attempts.len() as u64
     }
 
-    fn send(&mut self, now_ms: u64, shards: Vec<ids::ShardId>) -> Vec<Output> {
+    fn send(&mut self, shards: Vec<ids::ShardId>) -> Vec<Output> {
         let mut asks: Vec<(ids::ShardId, &[ids::SearcherName])> = Vec::with_capacity(shards.len());
         for shard in shards {
             let Some(state) = self.shards.get(shard.0 as usize) else {
@@ -252,7 +245,6 @@
                 attempt,
                 searcher: searcher.clone(),
                 shards: shards.clone(),
-                sent_at_ms: now_ms,
                 hedged: false,
                 open: true,
             });
--- a/src/slots/call.rs
+++ b/src/slots/call.rs
@@ -1,6 +1,5 @@
 //! The inputs and outputs of a backend server's slots.
 
-use crate::caller_api;
 use crate::ids;
 use crate::rank;
 
@@ -40,16 +39,6 @@
     Expired,
 }
 
-impl Cause {
-    /// What a caller is told whose request can't be served for this cause.
-    pub fn error_code(self) -> caller_api::ErrorCode {
-        match self {
-            Cause::QueueFull => caller_api::ErrorCode::Overloaded,
-            Cause::TooLate | Cause::Expired => caller_api::ErrorCode::DeadlinePast,
-        }
-    }
-}
-
 /// The first answer to a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
--- a/tests/query.rs
+++ b/tests/query.rs
@@ -53,7 +53,7 @@
         limit: LIMIT,
         effort: caller_api::Effort::default(),
     };
-    query::Query::start(0, terms, FirstHolder)
+    query::Query::start(terms, FirstHolder)
 }
 
 fn hits(shard: ids::ShardId, at: snapshot::Snapshot) -> searcher_api::ShardHits {
@@ -136,7 +136,7 @@
             vec![reply(&call, well)]
         };
         for reply in replies {
-            let outputs = query.reply(1, reply);
+            let outputs = query.reply(reply);
             open.extend(sends(&outputs));
             let now = end(&outputs);
             assert!(ended.is_none() || now.is_none(), "{fault:?}: ended twice");
@@ -272,22 +272,23 @@
     let calls = sends(&outputs);
     let slow = calls.first().expect("a call").clone();
     for call in calls.iter().skip(1) {
-        assert_eq!(end(&query.reply(1, reply(call, answered(call, snap(7))))), None);
+        assert_eq!(end(&query.reply(reply(call, answered(call, snap(7))))), None);
     }
-    assert_eq!(query.slow_attempts(0).len(), 1);
-    let hedges = sends(&query.hedge(5, slow.attempt));
+    let awaiting = calls.iter().filter(|call| query.awaits_hedge(call.attempt));
+    assert_eq!(awaiting.map(|call| call.attempt).collect::<Vec<_>>(), vec![slow.attempt]);
+    let hedges = sends(&query.hedge(slow.attempt));
     assert!(hedges.iter().all(|hedge| hedge.searcher != slow.searcher));
-    assert_eq!(query.hedge(6, slow.attempt), Vec::new(), "hedged once only");
+    assert_eq!(query.hedge(slow.attempt), Vec::new(), "hedged once only");
     let mut ended = None;
     for hedge in &hedges {
-        ended = end(&query.reply(7, reply(hedge, answered(hedge, snap(7)))));
+        ended = end(&query.reply(reply(hedge, answered(hedge, snap(7)))));
     }
     let Some(query::End::Answer(answer)) = ended else {
         panic!("{ended:?}");
     };
     check(&answer);
     assert_eq!(answer.coverage.missing, Vec::new());
-    assert_eq!(query.reply(8, reply(&slow, answered(&slow, snap(7)))), Vec::new());
+    assert_eq!(query.reply(reply(&slow, answered(&slow, snap(7)))), Vec::new());
     assert_eq!(query.dropped(), 1);
 }
 
@@ -302,8 +303,8 @@
         };
         let well = answered(&call, snap(7));
         let outputs = match kind % 12 {
-            0 | 1 => query.reply(1, reply(&call, well)),
-            2 => query.hedge(1, call.attempt),
+            0 | 1 => query.reply(reply(&call, well)),
+            2 => query.hedge(call.attempt),
             other => {
                 let fault = match other {
                     3 => Fault::Lost,
@@ -318,7 +319,7 @@
                 };
                 let mut outputs = Vec::new();
                 for reply in faulty_replies(fault, &call, well) {
-                    outputs.extend(query.reply(1, reply));
+                    outputs.extend(query.reply(reply));
                 }
                 outputs
             }
