--- /dev/null
+++ b/src/discovery/config.rs
@@ -0,0 +1,248 @@
+//! The operator's configuration: routes, services and limits.
+
+use crate::ids;
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+/// The version of a configuration. Versions grow in uneven steps.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ConfigVersion(pub u64);
+
+impl std::fmt::Display for ConfigVersion {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl std::str::FromStr for ConfigVersion {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// Whether a request may run more than once.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display, strum::EnumString,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Repeatability {
+    /// It may run any number of times.
+    Idempotent,
+    /// It may run once at most.
+    NonIdempotent,
+}
+
+/// A service that takes a share of a route's requests.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WeightedService {
+    /// The service.
+    pub service: ids::ServiceName,
+    /// Its share, relative to the other weights of the route.
+    pub weight: f64,
+}
+
+/// A query over many shards, each of them a service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Gather {
+    /// The shards.
+    pub shards: Vec<ids::ServiceName>,
+    /// How many records the answer has at most.
+    pub top_count: u32,
+    /// The least share of the shards that makes an answer, from 0 to 1.
+    pub shard_ratio_min: f64,
+}
+
+impl Gather {
+    /// The least number of shards that makes an answer; at least one.
+    pub fn shards_min(&self) -> usize {
+        /// Absorbs rounding, so that 0.9 of 10 shards are 9 and not 10.
+        const ROUNDING: f64 = 1e-9;
+        let wanted = (self.shard_ratio_min * self.shards.len() as f64 - ROUNDING).ceil();
+        (wanted.max(1.0) as usize).min(self.shards.len().max(1))
+    }
+}
+
+/// Where a route's requests go.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Target {
+    /// To a searcher of one service.
+    Service(ids::ServiceName),
+    /// To a searcher of one of these services, in the proportions of their weights.
+    Split(Vec<WeightedService>),
+    /// To a searcher of each shard.
+    Gather(Gather),
+}
+
+impl Target {
+    /// All services that a request on this route may use.
+    pub fn services(&self) -> Vec<&ids::ServiceName> {
+        match self {
+            Self::Service(service) => vec![service],
+            Self::Split(parts) => parts.iter().map(|part| &part.service).collect(),
+            Self::Gather(gather) => gather.shards.iter().collect(),
+        }
+    }
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Route {
+    /// Its name, unique in a configuration.
+    pub name: CompactString,
+    /// The host it serves.
+    pub host: CompactString,
+    /// The start of the paths it serves; it begins and ends with a slash.
+    pub prefix: CompactString,
+    /// Whether its requests may run more than once.
+    pub repeatability: Repeatability,
+    /// The longest time that a request is kept waiting.
+    pub timeout_ms: u64,
+    /// The time within which an answer is worth most.
+    pub target_latency_ms: u64,
+    /// The urgency, 0 is the most urgent.
+    pub priority: u8,
+    /// To how many searchers a request (of a gather: each part) may be sent.
+    pub attempts: u32,
+    /// Where the requests go.
+    pub target: Target,
+}
+
+/// One service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Service {
+    /// Its name.
+    pub name: ids::ServiceName,
+    /// How many connections one of its searchers accepts from all callers together.
+    pub connections_max: u32,
+}
+
+/// What a client may send, and for how long it may be idle.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limits {
+    /// The longest request head.
+    pub header_max_bytes: u64,
+    /// The longest request body.
+    pub body_max_bytes: u64,
+    /// The longest time that a client may take for a request head.
+    pub header_timeout_ms: u64,
+    /// The longest time that a client's connection may be idle.
+    pub idle_timeout_ms: u64,
+}
+
+/// A configuration, whole.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Config {
+    /// Its version.
+    pub version: ConfigVersion,
+    /// The routes.
+    pub routes: Vec<Route>,
+    /// The services, sorted by name.
+    pub services: Vec<Service>,
+    /// The limits for clients.
+    pub limits: Limits,
+}
+
+impl Config {
+    /// The service of this name.
+    pub fn service(&self, name: &ids::ServiceName) -> Option<&Service> {
+        let at = self.services.binary_search_by(|service| service.name.cmp(name)).ok()?;
+        self.services.get(at)
+    }
+}
+
+/// What turns one configuration into another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ConfigDelta {
+    /// The configuration that the delta applies to.
+    pub base: ConfigVersion,
+    /// The configuration that results.
+    pub version: ConfigVersion,
+    /// Routes that are new or changed.
+    pub routes: Vec<Route>,
+    /// Names of routes that are gone.
+    pub routes_gone: Vec<CompactString>,
+    /// Services that are new or changed.
+    pub services: Vec<Service>,
+    /// Services that are gone.
+    pub services_gone: Vec<ids::ServiceName>,
+    /// The limits for clients.
+    pub limits: Limits,
+}
+
+impl ConfigDelta {
+    /// The delta from `old` to `new`.
+    pub fn between(old: &Config, new: &Config) -> Self {
+        let old_routes = by_name(&old.routes);
+        let new_routes = by_name(&new.routes);
+        let mut routes = Vec::new();
+        for route in &new.routes {
+            let known = old_routes.binary_search_by(|old| old.name.cmp(&route.name)).ok();
+            if known.is_some_and(|at| old_routes[at] == route) {
+                continue;
+            }
+            routes.push(route.clone());
+        }
+        let mut routes_gone = Vec::new();
+        for route in &old.routes {
+            if new_routes.binary_search_by(|new| new.name.cmp(&route.name)).is_err() {
+                routes_gone.push(route.name.clone());
+            }
+        }
+        let mut services = Vec::new();
+        for service in &new.services {
+            if old.service(&service.name) != Some(service) {
+                services.push(service.clone());
+            }
+        }
+        let mut services_gone = Vec::new();
+        for service in &old.services {
+            if new.service(&service.name).is_none() {
+                services_gone.push(service.name.clone());
+            }
+        }
+        Self {
+            base: old.version,
+            version: new.version,
+            routes,
+            routes_gone,
+            services,
+            services_gone,
+            limits: new.limits,
+        }
+    }
+
+    /// The configuration that results from applying the delta to `old`, if `old` is its base.
+    pub fn apply(self, old: &Config) -> Option<Config> {
+        if old.version != self.base {
+            return None;
+        }
+        let mut routes = old.routes.clone();
+        routes.retain(|route| !self.routes_gone.contains(&route.name));
+        for route in self.routes {
+            match routes.iter_mut().find(|known| known.name == route.name) {
+                Some(known) => *known = route,
+                None => routes.push(route),
+            }
+        }
+        let mut services = old.services.clone();
+        services.retain(|service| !self.services_gone.contains(&service.name));
+        for service in self.services {
+            match services.binary_search_by(|known| known.name.cmp(&service.name)) {
+                Ok(at) => services[at] = service,
+                Err(at) => services.insert(at, service),
+            }
+        }
+        Some(Config { version: self.version, routes, services, limits: self.limits })
+    }
+}
+
+fn by_name(routes: &[Route]) -> Vec<&Route> {
+    let mut sorted: Vec<&Route> = routes.iter().collect();
+    sorted.sort_by(|a, b| a.name.cmp(&b.name));
+    sorted
+}
--- /dev/null
+++ b/src/discovery/members.rs
@@ -0,0 +1,198 @@
+//! The instances of the deployment: who is alive, who reads the store, who takes clients.
+
+use crate::ids;
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use std::net;
+use xxhash_rust::xxh3;
+
+/// Whether an instance takes requests.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display, strum::EnumString,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum MemberState {
+    /// It does not know enough yet.
+    Starting,
+    /// It takes requests.
+    Ready,
+    /// It is about to stop.
+    Draining,
+}
+
+/// What an instance says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name, the same after a restart.
+    pub name: ids::InstanceName,
+    /// Unix time of the start of this process; a restart has a later one.
+    pub boot_ms: u64,
+    /// Where other instances reach it.
+    pub control: net::SocketAddr,
+    /// Where clients reach it, if it takes any.
+    pub front: Option<net::SocketAddr>,
+    /// Its failure domain.
+    pub domain: CompactString,
+    /// Its region.
+    pub region: CompactString,
+    /// Its share of a processor core, in thousandths.
+    pub cpu_millicores: u32,
+    /// Whether it takes requests.
+    pub state: MemberState,
+    /// Whether the store answered its last calls; `true` while it makes none.
+    pub reaches_store: bool,
+}
+
+/// The members, as this instance and those it is connected to see them.
+#[derive(Clone, Debug)]
+pub struct Members {
+    me: Member,
+    /// Instances with an open connection to this one.
+    inbound: Vec<Member>,
+    /// What each source (by its control address) has told, and until when it counts if the connection to
+    /// the source is lost.
+    told: Vec<Told>,
+    /// Instances (by their control address) that went silent, and until when they are passed over as
+    /// readers.
+    silent: Vec<(net::SocketAddr, u64)>,
+}
+
+#[derive(Clone, Debug)]
+struct Told {
+    source: net::SocketAddr,
+    members: Vec<Member>,
+    expires_us: Option<u64>,
+}
+
+/// How long the members that a lost source has told still count; they connect to another one meanwhile.
+const TOLD_KEEP_US: u64 = 2_000_000;
+/// How long an instance that went silent is passed over as a reader: the time a frozen machine takes.
+const SILENT_KEEP_US: u64 = 4_000_000;
+/// How many instances read the store at least, if there are as many: one may be lost, one frozen.
+const READERS_MIN: usize = 3;
+
+impl Members {
+    /// Knows of nobody but `me`.
+    pub fn new(me: Member) -> Self {
+        Self { me, inbound: Vec::new(), told: Vec::new(), silent: Vec::new() }
+    }
+
+    /// This instance.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Changes what this instance says of itself. Returns whether that is news.
+    pub fn set_me(&mut self, state: MemberState, reaches_store: bool) -> bool {
+        let changed = self.me.state != state || self.me.reaches_store != reaches_store;
+        self.me.state = state;
+        self.me.reaches_store = reaches_store;
+        changed
+    }
+
+    /// An instance is connected to this one, or has said something new of itself.
+    pub fn joined(&mut self, member: Member) -> bool {
+        if let Some(known) = self.inbound.iter_mut().find(|known| known.name == member.name) {
+            if known.boot_ms > member.boot_ms || *known == member {
+                return false;
+            }
+            *known = member;
+            return true;
+        }
+        self.inbound.push(member);
+        true
+    }
+
+    /// The connection of this life of an instance to this one is gone.
+    pub fn left(&mut self, name: &ids::InstanceName, boot_ms: u64) -> bool {
+        let before = self.inbound.len();
+        self.inbound.retain(|known| known.name != *name || known.boot_ms != boot_ms);
+        self.inbound.len() != before
+    }
+
+    /// The instances connected to this one, and itself: what it tells others.
+    pub fn own_word(&self) -> Vec<Member> {
+        let mut members = self.inbound.clone();
+        members.push(self.me.clone());
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        members
+    }
+
+    /// What a source says are its members.
+    pub fn told(&mut self, source: net::SocketAddr, members: Vec<Member>) {
+        self.silent.retain(|(address, _)| *address != source);
+        match self.told.iter_mut().find(|told| told.source == source) {
+            Some(told) => {
+                told.members = members;
+                told.expires_us = None;
+            }
+            None => self.told.push(Told { source, members, expires_us: None }),
+        }
+    }
+
+    /// The connection to a source is lost. `silent` tells that it broke by silence, not by a close.
+    pub fn lost(&mut self, now_us: u64, source: net::SocketAddr, silent: bool) {
+        for told in &mut self.told {
+            if told.source != source {
+                continue;
+            }
+            told.expires_us.get_or_insert(now_us + TOLD_KEEP_US);
+            told.members.retain(|member| member.control != source);
+        }
+        if silent {
+            self.silent.retain(|(address, _)| *address != source);
+            self.silent.push((source, now_us + SILENT_KEEP_US));
+        }
+    }
+
+    /// Drops what has expired.
+    pub fn expire(&mut self, now_us: u64) {
+        self.told.retain(|told| told.expires_us.is_none_or(|at_us| now_us < at_us));
+        self.silent.retain(|(_, until_us)| now_us < *until_us);
+    }
+
+    /// All members believed to be alive, sorted by name; this instance is among them.
+    pub fn live(&self) -> Vec<&Member> {
+        let mut members: Vec<&Member> = vec![&self.me];
+        members.extend(&self.inbound);
+        for told in &self.told {
+            members.extend(&told.members);
+        }
+        // Of one name, the newest life goes first, and of that, the word of the instance itself.
+        members.sort_by(|a, b| a.name.cmp(&b.name).then(b.boot_ms.cmp(&a.boot_ms)));
+        members.dedup_by(|a, b| a.name == b.name);
+        members
+    }
+
+    /// The instances that read the store: the first of each region in an order that all agree on, and
+    /// more up to a least number. Those that the store does not answer, that leave or that went silent come
+    /// last.
+    pub fn readers(&self) -> Vec<&Member> {
+        let mut ranked = self.live();
+        ranked.sort_by_key(|member| {
+            let silent = self.silent.iter().any(|(address, _)| *address == member.control);
+            let unfit = !member.reaches_store || member.state == MemberState::Draining || silent;
+            (unfit, xxh3::xxh3_64(member.name.as_str().as_bytes()))
+        });
+        let mut readers: Vec<&Member> = Vec::new();
+        for member in &ranked {
+            if readers.iter().all(|reader| reader.region != member.region) {
+                readers.push(member);
+            }
+        }
+        for member in &ranked {
+            if readers.len() >= READERS_MIN {
+                break;
+            }
+            if readers.iter().all(|reader| reader.name != member.name) {
+                readers.push(member);
+            }
+        }
+        readers
+    }
+
+    /// Whether this instance is one of [`Members::readers`].
+    pub fn is_reader(&self) -> bool {
+        self.readers().iter().any(|reader| reader.name == self.me.name)
+    }
+}
--- /dev/null
+++ b/src/discovery/publisher.rs
@@ -0,0 +1,184 @@
+//! Serves subscribers: accepts their connections and tells them what this instance learns.
+
+use crate::clock;
+use crate::discovery::config;
+use crate::discovery::feed;
+use crate::discovery::members;
+use crate::discovery::view;
+use crate::event;
+use crate::events::Event;
+use crate::frame;
+use std::net;
+use std::sync;
+use std::time;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp;
+use tokio::sync::broadcast;
+use tokio::sync::mpsc;
+
+/// The pace of [`feed::Update::Pulse`].
+pub const PULSE: time::Duration = time::Duration::from_millis(500);
+/// The longest time that a subscriber may be silent; it says hello at [`feed`]'s pace.
+const SUBSCRIBER_SILENCE: time::Duration = time::Duration::from_millis(3_500);
+/// The longest time that one write to a subscriber may take.
+const WRITE_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+/// How many requests of one subscriber wait at most.
+const REQUESTS_MAX: usize = 16;
+
+/// Accepts subscribers until the process ends.
+pub async fn run(listener: TcpListener, view: sync::Arc<view::View>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                tokio::spawn(serve(stream, peer, view.clone()));
+            }
+            Err(error) => {
+                event!(warn, Event::AcceptFailed, %error, port = "control");
+                tokio::time::sleep(time::Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, peer: net::SocketAddr, view: sync::Arc<view::View>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "TCP_NODELAY could not be set");
+    }
+    let (read, write) = stream.into_split();
+    let (requests, received) = mpsc::channel(REQUESTS_MAX);
+    let reading = tokio::spawn(read_requests(read, requests));
+    let mut session = Session { view, write, codec: feed::source_codec(), subscriber: None };
+    if let Err(error) = session.run(received).await {
+        tracing::debug!(%error, %peer, "subscriber's connection ended");
+    }
+    reading.abort();
+    let Some(subscriber) = session.subscriber else {
+        return;
+    };
+    event!(info, Event::SubscriberLost, instance = %subscriber.name, boot = subscriber.boot_ms);
+    session.view.change_members(|members| members.left(&subscriber.name, subscriber.boot_ms));
+}
+
+async fn read_requests(mut read: tcp::OwnedReadHalf, requests: mpsc::Sender<feed::Request>) {
+    let mut codec = feed::subscriber_codec();
+    loop {
+        let request = async {
+            let rest = frame::read(&mut read, feed::FRAME_MAX_BYTES).await?;
+            codec.decode::<feed::Request>(&rest)
+        };
+        let Ok(Ok(request)) = tokio::time::timeout(SUBSCRIBER_SILENCE, request).await else {
+            // Dropping `requests` ends the session.
+            return;
+        };
+        if requests.send(request).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// One subscriber's connection.
+struct Session {
+    view: sync::Arc<view::View>,
+    write: tcp::OwnedWriteHalf,
+    codec: frame::Codec,
+    subscriber: Option<members::Member>,
+}
+
+impl Session {
+    async fn run(
+        &mut self,
+        mut requests: mpsc::Receiver<feed::Request>,
+    ) -> Result<(), frame::FrameError> {
+        let mut updates = self.view.subscribe();
+        let mut pulse = tokio::time::interval(PULSE);
+        pulse.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                request = requests.recv() => match request {
+                    Some(feed::Request::Hello { member, config }) => self.hello(member, config).await?,
+                    Some(feed::Request::SendConfig) => self.send_config().await?,
+                    None => return Ok(()),
+                },
+                update = updates.recv(), if self.subscriber.is_some() => match update {
+                    Ok(update) => self.forward(&update).await?,
+                    Err(broadcast::error::RecvError::Lagged(_)) => self.send_all().await?,
+                    Err(broadcast::error::RecvError::Closed) => return Ok(()),
+                },
+                _ = pulse.tick(), if self.subscriber.is_some() => self.send_pulse().await?,
+            }
+        }
+    }
+
+    async fn hello(
+        &mut self,
+        member: members::Member,
+        config: config::ConfigVersion,
+    ) -> Result<(), frame::FrameError> {
+        let is_new = self.subscriber.is_none();
+        self.subscriber = Some(member.clone());
+        if is_new {
+            event!(info, Event::SubscriberJoined, instance = %member.name, boot = member.boot_ms);
+        }
+        self.view.change_members(|members| members.joined(member));
+        if !is_new {
+            return Ok(());
+        }
+        if config < self.view.config_version() {
+            self.send_config().await?;
+        }
+        self.send_all().await
+    }
+
+    /// Sends all but the configuration.
+    async fn send_all(&mut self) -> Result<(), frame::FrameError> {
+        let changes = self.view.with_registry(|registry| registry.changes());
+        self.send(&feed::Update::Searchers(changes)).await?;
+        let members = self.view.with_members(|members| members.own_word());
+        self.send(&feed::Update::Members(members)).await?;
+        self.send_pulse().await
+    }
+
+    async fn send_config(&mut self) -> Result<(), frame::FrameError> {
+        let Some(table) = self.view.table() else {
+            return Ok(());
+        };
+        self.send(&feed::Update::Config(Box::new(config::Config::clone(&table.config)))).await
+    }
+
+    /// Passes an update on. Configurations go to subscribers of the own region only: bytes between
+    /// regions are dear, and others ask if their own region's reader has not told them.
+    async fn forward(&mut self, update: &feed::Update) -> Result<(), frame::FrameError> {
+        if matches!(update, feed::Update::Config(_) | feed::Update::ConfigDelta(_)) {
+            let region = self.view.with_members(|members| members.me().region.clone());
+            if self.subscriber.as_ref().is_some_and(|member| member.region != region) {
+                return self.send_pulse().await;
+            }
+        }
+        self.send(update).await
+    }
+
+    async fn send_pulse(&mut self) -> Result<(), frame::FrameError> {
+        let ages = self.view.ages();
+        let pulse = feed::Update::Pulse {
+            config: self.view.config_version(),
+            searchers_age_us: ages.searchers_us,
+            config_age_us: ages.config_us,
+        };
+        self.send(&pulse).await
+    }
+
+    async fn send(&mut self, update: &feed::Update) -> Result<(), frame::FrameError> {
+        let mut buffer = Vec::new();
+        self.codec.encode(update, &mut buffer)?;
+        let started_us = clock::now_us();
+        match tokio::time::timeout(WRITE_TIMEOUT, frame::write(&mut self.write, &buffer)).await {
+            Ok(written) => written,
+            Err(_) => {
+                let waited_ms = (clock::now_us() - started_us) / 1_000;
+                tracing::debug!(waited_ms, "subscriber does not read");
+                Err(frame::FrameError::Stream(std::io::ErrorKind::TimedOut.into()))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/discovery/reader.rs
@@ -0,0 +1,254 @@
+//! Reads the platform's store while it is this instance's turn.
+
+use crate::clock;
+use crate::discovery::registry;
+use crate::discovery::source;
+use crate::discovery::view;
+use crate::event;
+use crate::events::Event;
+use crate::locks;
+use std::net;
+use std::sync;
+use std::time;
+use xxhash_rust::xxh3;
+
+/// How long a watch of the configuration waits at the store.
+const CONFIG_WAIT: time::Duration = time::Duration::from_millis(2_000);
+/// The pace of reads of searchers. Each searcher writes about once in a second, so a watch would return at
+/// once, for ever; the bound for a searcher that drains is three seconds or more.
+const SEARCHERS_PERIOD: time::Duration = time::Duration::from_millis(900);
+/// How long a watch of searchers waits at the store.
+const SEARCHERS_WAIT: time::Duration = time::Duration::from_millis(500);
+/// The first pause after a failed call; it doubles up to [`PAUSE_MAX`].
+const PAUSE_MIN: time::Duration = time::Duration::from_millis(150);
+/// The longest pause after failed calls.
+const PAUSE_MAX: time::Duration = time::Duration::from_millis(800);
+/// How long an instance that is no reader lets its view grow old before it reads for itself.
+const STALE_AFTER_US: u64 = 1_900_000;
+/// The spread of that time over instances, so that they do not all read at once.
+const STALE_SPREAD_US: u64 = 600_000;
+/// How long an instance that has just started waits for a source, unless it is a seed itself.
+const START_PATIENCE_US: u64 = 900_000;
+/// How long the store may fail before the instance leaves the reading to another one.
+const FAILING_AFTER_US: u64 = 900_000;
+/// How long an instance that the store has failed is passed over as a reader.
+const UNFIT_FOR_US: u64 = 6_000_000;
+/// How often an instance looks whether it is its turn.
+const TURN_PERIOD: time::Duration = time::Duration::from_millis(100);
+
+/// Reads the store whenever it is this instance's turn.
+pub struct Reader<S> {
+    view: sync::Arc<view::View>,
+    store: S,
+    is_seed: bool,
+    started_us: u64,
+    stale_after_us: u64,
+    status: sync::Mutex<Status>,
+    hold: sync::Mutex<registry::LapseHold>,
+}
+
+/// How the store has answered.
+#[derive(Clone, Copy, Debug, Default)]
+struct Status {
+    failing_since_us: Option<u64>,
+    unfit_until_us: u64,
+}
+
+impl<S: source::Source> Reader<S> {
+    /// A reader. Whether it is one of `seeds` decides how soon it reads at the start.
+    pub fn new(view: sync::Arc<view::View>, store: S, seeds: &[net::SocketAddr]) -> Self {
+        let me = view.with_members(|members| members.me().clone());
+        let spread = xxh3::xxh3_64(me.name.as_str().as_bytes()) % STALE_SPREAD_US;
+        Self {
+            is_seed: seeds.is_empty() || seeds.contains(&me.control),
+            view,
+            store,
+            started_us: clock::now_us(),
+            stale_after_us: STALE_AFTER_US + spread,
+            status: sync::Mutex::default(),
+            hold: sync::Mutex::default(),
+        }
+    }
+
+    /// Reads until the process ends.
+    pub async fn run(self) {
+        tokio::join!(self.follow_config(), self.follow_searchers(), self.watch_status());
+    }
+
+    /// Whether this instance should read now.
+    fn is_turn(&self) -> bool {
+        let now_us = clock::now_us();
+        let ages = self.view.ages();
+        let age_us = ages.searchers_us.unwrap_or(u64::MAX).max(ages.config_us.unwrap_or(u64::MAX));
+        if self.is_seed && age_us == u64::MAX {
+            return true;
+        }
+        let patience_us = if age_us == u64::MAX { START_PATIENCE_US } else { 0 };
+        if now_us - self.started_us < patience_us + self.stale_after_us % STALE_SPREAD_US {
+            return false;
+        }
+        if self.view.with_members(|members| members.is_reader()) {
+            return true;
+        }
+        if age_us < self.stale_after_us {
+            return false;
+        }
+        // In an outage of the store all views grow old; the readers go on trying, and each other instance
+        // tries now and then, so that the calls do not grow with the instances.
+        let (count, has_sources) = self.view.with_members(|members| {
+            let live = members.live();
+            (live.len() as u64, live.len() > 1)
+        });
+        if !has_sources {
+            return true;
+        }
+        let slot_us = 500_000;
+        let mine = xxh3::xxh3_64(self.me_name().as_bytes()) % count;
+        (now_us / slot_us) % count == mine
+    }
+
+    fn me_name(&self) -> compact_str::CompactString {
+        self.view.with_members(|members| members.me().name.as_str().into())
+    }
+
+    async fn turn(&self) {
+        while !self.is_turn() {
+            tokio::time::sleep(TURN_PERIOD).await;
+        }
+    }
+
+    async fn follow_config(&self) {
+        let mut after: Option<registry::StoreRevision> = None;
+        let mut pause = PAUSE_MIN;
+        loop {
+            if !self.is_turn() {
+                after = None;
+                self.turn().await;
+            }
+            let started_us = clock::now_us();
+            let result = match after {
+                Some(after) => self.store.watch_config(after, CONFIG_WAIT).await,
+                None => self.store.read_config().await,
+            };
+            match result {
+                Ok(read) => {
+                    pause = PAUSE_MIN;
+                    self.answered();
+                    let age_us = clock::now_us() - started_us;
+                    let is_first = after.is_none();
+                    let has_config = read.config.is_some();
+                    after = Some(read.as_of);
+                    if let Some(config) = read.config {
+                        self.view.offer_config(config, age_us);
+                    }
+                    // A watch that returns without news proves the state at its end; a first read without
+                    // a configuration means that the operator has not written one yet.
+                    self.view.config_verified(if is_first { age_us } else { 0 });
+                    if is_first && !has_config {
+                        tracing::debug!("no configuration in the store yet");
+                    }
+                }
+                Err(source::SourceError::HistoryLost) => after = None,
+                Err(error) => {
+                    self.failed(&error, "config");
+                    pause = self.rest(pause).await;
+                }
+            }
+        }
+    }
+
+    async fn follow_searchers(&self) {
+        let mut after: Option<registry::StoreRevision> = None;
+        let mut pause = PAUSE_MIN;
+        loop {
+            if !self.is_turn() {
+                after = None;
+                self.turn().await;
+            }
+            let started_us = clock::now_us();
+            let result = match after {
+                Some(after) => self.store.watch_searchers(after, SEARCHERS_WAIT).await,
+                None => self.read_all().await,
+            };
+            match result {
+                Ok(read) => {
+                    pause = PAUSE_MIN;
+                    self.answered();
+                    after = Some(read.as_of);
+                    let now_us = clock::now_us();
+                    let changes = locks::lock(&self.hold).filter(now_us, read.changes);
+                    self.view.apply_searchers(changes, now_us - started_us);
+                    self.view.searchers_verified(now_us - started_us);
+                    tokio::time::sleep(SEARCHERS_PERIOD).await;
+                }
+                Err(source::SourceError::HistoryLost) => after = None,
+                Err(error) => {
+                    self.failed(&error, "searchers");
+                    pause = self.rest(pause).await;
+                }
+            }
+        }
+    }
+
+    /// Reads all searchers; those known that are missing are reported as gone.
+    async fn read_all(&self) -> Result<source::SearchersRead, source::SourceError> {
+        let mut read = self.store.read_searchers().await?;
+        read.changes.sort_by(|a, b| a.id.cmp(&b.id));
+        let known = self.view.with_registry(|registry| registry.changes());
+        for record in known {
+            let is_there = read.changes.binary_search_by(|change| change.id.cmp(&record.id)).is_ok();
+            if is_there || record.searcher.is_none() || record.revision >= read.as_of {
+                continue;
+            }
+            read.changes.push(registry::SearcherChange {
+                id: record.id,
+                revision: read.as_of,
+                searcher: None,
+            });
+        }
+        Ok(read)
+    }
+
+    /// Waits after a failed call. Returns the next pause.
+    async fn rest(&self, pause: time::Duration) -> time::Duration {
+        let jitter = rand::random_range(0.7..1.3);
+        tokio::time::sleep(pause.mul_f64(jitter)).await;
+        (pause * 2).min(PAUSE_MAX)
+    }
+
+    fn answered(&self) {
+        let since_us = locks::lock(&self.status).failing_since_us.take();
+        let Some(since_us) = since_us else {
+            return;
+        };
+        let now_us = clock::now_us();
+        event!(info, Event::StoreRegained, outage_ms = (now_us - since_us) / 1_000);
+        locks::lock(&self.hold).recovered(now_us);
+    }
+
+    fn failed(&self, error: &source::SourceError, call: &'static str) {
+        let now_us = clock::now_us();
+        let mut status = locks::lock(&self.status);
+        if status.failing_since_us.is_none() {
+            status.failing_since_us = Some(now_us);
+            event!(warn, Event::StoreLost, call, %error);
+        }
+        let since_us = status.failing_since_us.unwrap_or(now_us);
+        if now_us - since_us > FAILING_AFTER_US {
+            status.unfit_until_us = now_us + UNFIT_FOR_US;
+        }
+    }
+
+    /// Tells the other instances whether this one reaches the store.
+    async fn watch_status(&self) {
+        loop {
+            tokio::time::sleep(TURN_PERIOD * 2).await;
+            let status = *locks::lock(&self.status);
+            let reaches_store = clock::now_us() >= status.unfit_until_us;
+            self.view.change_members(|members| {
+                let state = members.me().state;
+                members.set_me(state, reaches_store)
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/discovery/registry.rs
@@ -0,0 +1,189 @@
+//! The searchers, as the platform's store lists them.
+//!
+//! Several readers report what they have seen at different moments. Each report of a searcher bears the
+//! store's revision of that change, and the newest revision wins, so reports may arrive in any order and
+//! more than once.
+
+use crate::ids;
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use std::net;
+
+/// A revision of the platform's store.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct StoreRevision(pub u64);
+
+impl std::fmt::Display for StoreRevision {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl std::str::FromStr for StoreRevision {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// Whether a searcher takes new work.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display, strum::EnumString,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum SearcherState {
+    /// It takes work.
+    Ready,
+    /// It is leaving and takes no new work.
+    Draining,
+}
+
+/// What a searcher says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Searcher {
+    /// The service it belongs to.
+    pub service: ids::ServiceName,
+    /// Where it listens.
+    pub address: net::SocketAddr,
+    /// Its failure domain.
+    pub domain: CompactString,
+    /// How many requests it works on at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: SearcherState,
+    /// Unix time of its start; tells two lives under one id apart.
+    pub born_ms: u64,
+}
+
+/// What a report says of an id.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SearcherChange {
+    /// The searcher's id.
+    pub id: CompactString,
+    /// The store's revision of this state.
+    pub revision: StoreRevision,
+    /// The searcher, or `None` if the id is gone or its entry can't be used.
+    pub searcher: Option<Searcher>,
+}
+
+/// What the registry holds of one id.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// The searcher's id.
+    pub id: CompactString,
+    /// The store's revision of this state.
+    pub revision: StoreRevision,
+    /// The searcher, or `None` if it is gone.
+    pub searcher: Option<Searcher>,
+}
+
+/// All searchers known.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    /// Sorted by id.
+    records: Vec<Record>,
+}
+
+impl Registry {
+    /// Takes in a report. Returns whether what is known of the searcher changed, revisions aside.
+    pub fn apply(&mut self, change: &SearcherChange) -> bool {
+        let found = self.records.binary_search_by(|record| record.id.cmp(&change.id));
+        match found {
+            Ok(at) => {
+                let record = &mut self.records[at];
+                if change.revision <= record.revision {
+                    return false;
+                }
+                record.revision = change.revision;
+                if record.searcher == change.searcher {
+                    return false;
+                }
+                record.searcher = change.searcher.clone();
+                true
+            }
+            Err(at) => {
+                let record = Record {
+                    id: change.id.clone(),
+                    revision: change.revision,
+                    searcher: change.searcher.clone(),
+                };
+                let changed = record.searcher.is_some();
+                self.records.insert(at, record);
+                changed
+            }
+        }
+    }
+
+    /// The record of an id.
+    pub fn get(&self, id: &str) -> Option<&Record> {
+        let at = self.records.binary_search_by(|record| record.id.as_str().cmp(id)).ok()?;
+        self.records.get(at)
+    }
+
+    /// All records, sorted by id.
+    pub fn records(&self) -> &[Record] {
+        &self.records
+    }
+
+    /// All records as reports.
+    pub fn changes(&self) -> Vec<SearcherChange> {
+        let mut changes = Vec::with_capacity(self.records.len());
+        for record in &self.records {
+            changes.push(SearcherChange {
+                id: record.id.clone(),
+                revision: record.revision,
+                searcher: record.searcher.clone(),
+            });
+        }
+        changes
+    }
+
+    /// How many searchers are there.
+    pub fn live_count(&self) -> usize {
+        self.records.iter().filter(|record| record.searcher.is_some()).count()
+    }
+}
+
+/// How long after the end of a store outage an entry that lapsed in it counts as present: the platform
+/// promises that entries of living searchers are back within about two seconds.
+pub const LAPSE_HOLD_US: u64 = 2_200_000;
+
+/// Holds back removals that a store outage may have caused.
+///
+/// Leases may lapse while the store is down, though the searchers live. Removals seen right after an outage
+/// are told on only when the searchers have had time to register again.
+#[derive(Clone, Debug, Default)]
+pub struct LapseHold {
+    held: Vec<SearcherChange>,
+    until_us: Option<u64>,
+}
+
+impl LapseHold {
+    /// The store answers again after an outage.
+    pub fn recovered(&mut self, now_us: u64) {
+        self.until_us = Some(now_us + LAPSE_HOLD_US);
+    }
+
+    /// Passes changes on, but for removals that are held back.
+    pub fn filter(&mut self, now_us: u64, changes: Vec<SearcherChange>) -> Vec<SearcherChange> {
+        if self.until_us.is_none_or(|until_us| now_us >= until_us) {
+            let mut released = std::mem::take(&mut self.held);
+            self.until_us = None;
+            released.extend(changes);
+            return released;
+        }
+        let mut passed = Vec::new();
+        for change in changes {
+            self.held.retain(|held| held.id != change.id);
+            match change.searcher {
+                Some(_) => passed.push(change),
+                None => self.held.push(change),
+            }
+        }
+        passed
+    }
+}
--- /dev/null
+++ b/src/discovery/subscriber.rs
@@ -0,0 +1,271 @@
+//! Connects to the instances that read the store (and, at first, to the seeds) and takes in what they tell.
+
+use crate::clock;
+use crate::discovery::feed;
+use crate::discovery::members;
+use crate::discovery::view;
+use crate::event;
+use crate::events::Event;
+use crate::frame;
+use std::net;
+use std::sync;
+use std::time;
+use tokio::net::TcpStream;
+use tokio::task;
+
+/// The longest silence of a source: two pulses and some.
+const SOURCE_SILENCE: time::Duration = time::Duration::from_millis(1_200);
+/// How often a subscriber says hello though nothing has changed, so that its source knows that it lives.
+const HELLO_PERIOD: time::Duration = time::Duration::from_millis(1_000);
+/// The longest time for a connection to open: a round trip between regions and some.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+/// The pause before a lost source is tried again.
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(250);
+/// How often the set of sources is looked at without news.
+const REVIEW_PERIOD: time::Duration = time::Duration::from_millis(500);
+/// How long an instance whose source has a newer configuration waits for it before it asks: the own
+/// region's reader mostly tells it sooner.
+const CONFIG_PATIENCE_US: u64 = 600_000;
+/// How long connections to seeds that are no readers are kept.
+const SEED_KEEP_US: u64 = 4_000_000;
+
+/// Keeps connections to all sources until the process ends. `seeds` are control addresses of instances
+/// that may or may not be there.
+pub async fn run(view: sync::Arc<view::View>, seeds: Vec<net::SocketAddr>) {
+    let started_us = clock::now_us();
+    let mut sources: Vec<(net::SocketAddr, task::JoinHandle<()>)> = Vec::new();
+    let mut members_changed = view.members_epoch();
+    loop {
+        view.change_members(|members| {
+            members.expire(clock::now_us());
+            false
+        });
+        let wanted = wanted(&view, &seeds, clock::now_us() - started_us);
+        sources.retain(|(address, task)| {
+            let keep = wanted.contains(address);
+            if !keep {
+                task.abort();
+                let now_us = clock::now_us();
+                view.change_members(|members| {
+                    members.lost(now_us, *address, false);
+                    false
+                });
+            }
+            keep
+        });
+        for address in wanted {
+            if sources.iter().any(|(known, _)| *known == address) {
+                continue;
+            }
+            sources.push((address, tokio::spawn(follow(address, view.clone()))));
+        }
+        // An error would mean that the view is gone, which this task holds.
+        let _ = tokio::time::timeout(REVIEW_PERIOD, members_changed.changed()).await;
+    }
+}
+
+/// The control addresses to be connected to.
+fn wanted(view: &view::View, seeds: &[net::SocketAddr], age_us: u64) -> Vec<net::SocketAddr> {
+    view.with_members(|members| {
+        let me = members.me().control;
+        let mut wanted: Vec<net::SocketAddr> =
+            members.readers().iter().map(|reader| reader.control).collect();
+        let is_alone = members.live().len() == 1;
+        if is_alone || age_us < SEED_KEEP_US {
+            wanted.extend(seeds);
+        }
+        wanted.retain(|address| *address != me);
+        wanted.sort();
+        wanted.dedup();
+        wanted
+    })
+}
+
+/// Stays connected to one source.
+async fn follow(address: net::SocketAddr, view: sync::Arc<view::View>) {
+    loop {
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let ended = match connecting.await {
+            Ok(Ok(stream)) => {
+                event!(info, Event::SourceConnected, source = %address);
+                let ended = Follower::new(address, &view).run(stream).await;
+                event!(info, Event::SourceLost, source = %address, reason = %ended);
+                ended
+            }
+            Ok(Err(error)) => Ended::Broken(error.into()),
+            Err(_) => Ended::Silent,
+        };
+        let now_us = clock::now_us();
+        let is_silent = matches!(ended, Ended::Silent);
+        view.change_members(|members| {
+            members.lost(now_us, address, is_silent);
+            true
+        });
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Why a connection to a source ended.
+#[derive(Debug, thiserror::Error)]
+enum Ended {
+    #[error("silent")]
+    Silent,
+    #[error("{0}")]
+    Broken(frame::FrameError),
+}
+
+impl From<frame::FrameError> for Ended {
+    fn from(error: frame::FrameError) -> Self {
+        Self::Broken(error)
+    }
+}
+
+/// One connection to a source.
+struct Follower<'a> {
+    address: net::SocketAddr,
+    view: &'a view::View,
+    /// Since when the source is known to have a newer configuration.
+    behind_since_us: Option<u64>,
+}
+
+impl<'a> Follower<'a> {
+    fn new(address: net::SocketAddr, view: &'a view::View) -> Self {
+        Self { address, view, behind_since_us: None }
+    }
+
+    async fn run(&mut self, stream: TcpStream) -> Ended {
+        if let Err(error) = stream.set_nodelay(true) {
+            tracing::debug!(%error, "TCP_NODELAY could not be set");
+        }
+        let (mut read, mut write) = stream.into_split();
+        let (updates, mut received) = tokio::sync::mpsc::channel(16);
+        let reading = tokio::spawn(async move {
+            let mut codec = feed::source_codec();
+            loop {
+                let update = async {
+                    let rest = frame::read(&mut read, feed::FRAME_MAX_BYTES).await?;
+                    Ok(codec.decode::<feed::Update>(&rest)?)
+                };
+                let result = match tokio::time::timeout(SOURCE_SILENCE, update).await {
+                    Ok(result) => result,
+                    Err(_) => Err(Ended::Silent),
+                };
+                let is_over = result.is_err();
+                if updates.send(result).await.is_err() || is_over {
+                    return;
+                }
+            }
+        });
+        let mut codec = feed::subscriber_codec();
+        let mut said: Option<members::Member> = None;
+        let mut members_changed = self.view.members_epoch();
+        let mut hello = tokio::time::interval(HELLO_PERIOD);
+        hello.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let ended = loop {
+            let mut request = None;
+            tokio::select! {
+                update = received.recv() => match update {
+                    Some(Ok(update)) => request = self.take(update),
+                    Some(Err(ended)) => break ended,
+                    None => break Ended::Silent,
+                },
+                _ = hello.tick() => request = Some(self.hello()),
+                _ = members_changed.changed() => {
+                    let me = self.view.with_members(|members| members.me().clone());
+                    if said.as_ref() != Some(&me) {
+                        request = Some(self.hello());
+                    }
+                },
+            }
+            let Some(request) = request else {
+                continue;
+            };
+            if let feed::Request::Hello { member, .. } = &request {
+                said = Some(member.clone());
+            }
+            if let Err(error) = send(&mut codec, &mut write, &request).await {
+                break Ended::Broken(error);
+            }
+        };
+        reading.abort();
+        ended
+    }
+
+    fn hello(&self) -> feed::Request {
+        let member = self.view.with_members(|members| members.me().clone());
+        feed::Request::Hello { member, config: self.view.config_version() }
+    }
+
+    /// Takes in an update. Returns what to ask the source for.
+    fn take(&mut self, update: feed::Update) -> Option<feed::Request> {
+        match update {
+            feed::Update::Searchers(changes) => self.view.apply_searchers(changes, 0),
+            feed::Update::Members(members) => {
+                let address = self.address;
+                self.view.change_members(|known| {
+                    known.told(address, members);
+                    true
+                });
+            }
+            feed::Update::Config(config) => {
+                self.view.offer_config(*config, 0);
+            }
+            feed::Update::ConfigDelta(delta) => {
+                if delta.version <= self.view.config_version() {
+                    return None;
+                }
+                let base = self.view.table().map(|table| table.config.clone());
+                match base.and_then(|base| delta.apply(&base)) {
+                    Some(config) => {
+                        self.view.offer_config(config, 0);
+                    }
+                    None => return Some(feed::Request::SendConfig),
+                }
+            }
+            feed::Update::Pulse { config, searchers_age_us, config_age_us } => {
+                return self.take_pulse(config, searchers_age_us, config_age_us);
+            }
+        }
+        None
+    }
+
+    fn take_pulse(
+        &mut self,
+        config: crate::discovery::config::ConfigVersion,
+        searchers_age_us: Option<u64>,
+        config_age_us: Option<u64>,
+    ) -> Option<feed::Request> {
+        if let Some(age_us) = searchers_age_us {
+            self.view.searchers_verified(age_us);
+        }
+        let own = self.view.config_version();
+        if config <= own {
+            self.behind_since_us = None;
+            if let Some(age_us) = config_age_us.filter(|_| config == own) {
+                self.view.config_verified(age_us);
+            }
+            return None;
+        }
+        let now_us = clock::now_us();
+        let since_us = *self.behind_since_us.get_or_insert(now_us);
+        let has_none = own == Default::default();
+        if !has_none && now_us - since_us < CONFIG_PATIENCE_US {
+            return None;
+        }
+        self.behind_since_us = Some(now_us);
+        Some(feed::Request::SendConfig)
+    }
+}
+
+async fn send(
+    codec: &mut frame::Codec,
+    write: &mut tokio::net::tcp::OwnedWriteHalf,
+    request: &feed::Request,
+) -> Result<(), frame::FrameError> {
+    let mut buffer = Vec::new();
+    codec.encode(request, &mut buffer)?;
+    match tokio::time::timeout(SOURCE_SILENCE, frame::write(write, &buffer)).await {
+        Ok(written) => written,
+        Err(_) => Err(frame::FrameError::Stream(std::io::ErrorKind::TimedOut.into())),
+    }
+}
--- /dev/null
+++ b/src/discovery/view.rs
@@ -0,0 +1,207 @@
+//! The state that an instance's tasks share: what it knows, and how fresh that is.
+
+use crate::clock;
+use crate::discovery::config;
+use crate::discovery::feed;
+use crate::discovery::members;
+use crate::discovery::registry;
+use crate::discovery::table;
+use crate::event;
+use crate::events::Event;
+use crate::locks;
+use std::sync;
+use tokio::sync::broadcast;
+use tokio::sync::watch;
+
+/// How many updates a slow subscriber may be behind before it gets everything anew.
+const BACKLOG_MAX: usize = 256;
+
+/// What an instance knows.
+pub struct View {
+    table: arc_swap::ArcSwapOption<table::RouteTable>,
+    inner: sync::Mutex<Inner>,
+    updates: broadcast::Sender<sync::Arc<feed::Update>>,
+    searchers_epoch: watch::Sender<u64>,
+    members_epoch: watch::Sender<u64>,
+}
+
+struct Inner {
+    registry: registry::Registry,
+    members: members::Members,
+    previous_config: Option<sync::Arc<config::Config>>,
+    searchers_verified_us: Option<u64>,
+    config_verified_us: Option<u64>,
+}
+
+/// How old an instance's knowledge is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ages {
+    /// The age of the view of the searchers; `None` if there never was a complete one.
+    pub searchers_us: Option<u64>,
+    /// The age of the configuration; `None` if there is none.
+    pub config_us: Option<u64>,
+}
+
+impl View {
+    /// Knows nothing but this instance.
+    pub fn new(me: members::Member) -> Self {
+        Self {
+            table: arc_swap::ArcSwapOption::empty(),
+            inner: sync::Mutex::new(Inner {
+                registry: registry::Registry::default(),
+                members: members::Members::new(me),
+                previous_config: None,
+                searchers_verified_us: None,
+                config_verified_us: None,
+            }),
+            updates: broadcast::Sender::new(BACKLOG_MAX),
+            searchers_epoch: watch::Sender::new(0),
+            members_epoch: watch::Sender::new(0),
+        }
+    }
+
+    /// The configuration in force, with its index.
+    pub fn table(&self) -> Option<sync::Arc<table::RouteTable>> {
+        self.table.load_full()
+    }
+
+    /// The version of the configuration in force, 0 if there is none.
+    pub fn config_version(&self) -> config::ConfigVersion {
+        self.table.load().as_ref().map_or_else(Default::default, |table| table.config.version)
+    }
+
+    /// The configuration before the one in force: most subscribers have it.
+    pub fn previous_config(&self) -> Option<sync::Arc<config::Config>> {
+        locks::lock(&self.inner).previous_config.clone()
+    }
+
+    /// Updates for subscribers, from now on.
+    pub fn subscribe(&self) -> broadcast::Receiver<sync::Arc<feed::Update>> {
+        self.updates.subscribe()
+    }
+
+    /// Changes whenever the searchers change.
+    pub fn searchers_epoch(&self) -> watch::Receiver<u64> {
+        self.searchers_epoch.subscribe()
+    }
+
+    /// Changes whenever the members change.
+    pub fn members_epoch(&self) -> watch::Receiver<u64> {
+        self.members_epoch.subscribe()
+    }
+
+    /// Puts a configuration in force if it is newer than the one that is. `age_us` is how long ago it was
+    /// known to be the newest.
+    pub fn offer_config(&self, config: config::Config, age_us: u64) -> bool {
+        let version = config.version;
+        if version <= self.config_version() {
+            return false;
+        }
+        let table = sync::Arc::new(table::RouteTable::new(sync::Arc::new(config)));
+        let previous = self.table.swap(Some(table.clone()));
+        event!(
+            info,
+            Event::ConfigInForce,
+            version = version.0,
+            previous = previous.as_ref().map_or(0, |table| table.config.version.0),
+            routes = table.config.routes.len(),
+            age_ms = age_us / 1_000
+        );
+        let previous = previous.map(|table| table.config.clone());
+        let update = match &previous {
+            Some(old) => feed::Update::ConfigDelta(Box::new(config::ConfigDelta::between(
+                old,
+                &table.config,
+            ))),
+            None => feed::Update::Config(Box::new(config::Config::clone(&table.config))),
+        };
+        locks::lock(&self.inner).previous_config = previous;
+        self.publish(update);
+        true
+    }
+
+    /// Notes that the configuration in force was the newest `age_us` ago.
+    pub fn config_verified(&self, age_us: u64) {
+        let at_us = clock::now_us().saturating_sub(age_us);
+        let mut inner = locks::lock(&self.inner);
+        inner.config_verified_us = inner.config_verified_us.max(Some(at_us));
+    }
+
+    /// Takes in reports on searchers; those that change anything are told on.
+    pub fn apply_searchers(&self, changes: Vec<registry::SearcherChange>, age_us: u64) {
+        let mut news = Vec::new();
+        {
+            let mut inner = locks::lock(&self.inner);
+            for change in changes {
+                if inner.registry.apply(&change) {
+                    news.push(change);
+                }
+            }
+        }
+        if news.is_empty() {
+            return;
+        }
+        for change in &news {
+            let state = change.searcher.as_ref().map(|searcher| searcher.state);
+            event!(
+                info,
+                Event::SearcherChanged,
+                searcher = %change.id,
+                state = state.map_or_else(|| "gone".to_owned(), |state| state.to_string()),
+                revision = change.revision.0,
+                age_ms = age_us / 1_000
+            );
+        }
+        self.publish(feed::Update::Searchers(news));
+        self.searchers_epoch.send_modify(|epoch| *epoch += 1);
+    }
+
+    /// Notes that the view of the searchers was complete `age_us` ago.
+    pub fn searchers_verified(&self, age_us: u64) {
+        let at_us = clock::now_us().saturating_sub(age_us);
+        let mut inner = locks::lock(&self.inner);
+        inner.searchers_verified_us = inner.searchers_verified_us.max(Some(at_us));
+    }
+
+    /// How old the instance's knowledge is.
+    pub fn ages(&self) -> Ages {
+        let now_us = clock::now_us();
+        let inner = locks::lock(&self.inner);
+        let age = |at_us: Option<u64>| at_us.map(|at_us| now_us.saturating_sub(at_us));
+        Ages { searchers_us: age(inner.searchers_verified_us), config_us: age(inner.config_verified_us) }
+    }
+
+    /// Looks at the searchers.
+    pub fn with_registry<T>(&self, look: impl FnOnce(&registry::Registry) -> T) -> T {
+        look(&locks::lock(&self.inner).registry)
+    }
+
+    /// Looks at the members.
+    pub fn with_members<T>(&self, look: impl FnOnce(&members::Members) -> T) -> T {
+        look(&locks::lock(&self.inner).members)
+    }
+
+    /// Changes the members; if `change` returns true, subscribers and waiting tasks hear of it.
+    pub fn change_members(&self, change: impl FnOnce(&mut members::Members) -> bool) {
+        let own_word = {
+            let mut inner = locks::lock(&self.inner);
+            if !change(&mut inner.members) {
+                return;
+            }
+            inner.members.own_word()
+        };
+        self.publish(feed::Update::Members(own_word));
+        self.members_epoch.send_modify(|epoch| *epoch += 1);
+    }
+
+    /// Whether the instance knows enough to serve.
+    pub fn is_complete(&self) -> bool {
+        let ages = self.ages();
+        ages.searchers_us.is_some() && self.table.load().is_some()
+    }
+
+    fn publish(&self, update: feed::Update) {
+        // There may be no subscriber; nothing is lost then.
+        let _ = self.updates.send(sync::Arc::new(update));
+    }
+}
--- a/src/events.rs
+++ b/src/events.rs
@@ -36,6 +36,34 @@
     PlatformFailed = 304,
     /// The duty of the settings' spread could not start.
     SpreadStopped = 305,
+    /// The instance's start-up settings were read again and nothing in them has to be taken over.
+    SettingsUnchanged = 306,
+    /// A configuration came into force.
+    ConfigInForce = 400,
+    /// A searcher is new, changed its state or is gone.
+    SearcherChanged = 401,
+    /// The platform's store does not answer.
+    StoreLost = 402,
+    /// The platform's store answers again.
+    StoreRegained = 403,
+    /// A connection to an instance that reads the store is open.
+    SourceConnected = 404,
+    /// A connection to an instance that reads the store is lost.
+    SourceLost = 405,
+    /// Another instance follows what this one learns.
+    SubscriberJoined = 406,
+    /// An instance that followed this one is gone.
+    SubscriberLost = 407,
+    /// A connection could not be accepted.
+    AcceptFailed = 500,
+    /// A request was served whole and in time.
+    RequestServed = 501,
+    /// A request was refused, failed, late, or answered without some of its parts.
+    RequestTroubled = 502,
+    /// No route fits a request.
+    NoRoute = 503,
+    /// A send to a searcher brought no answer.
+    SendFailed = 504,
 }
 
 impl Event {
--- /dev/null
+++ b/src/forward.rs
@@ -0,0 +1,16 @@
+//! How a request gets from a client to the searchers and its answer back.
+//!
+//! [`door`] takes the request, [`query`] decides which searchers get it and when it is answered, [`board`]
+//! holds what is observed of the searchers, [`budget`] limits second sends, and [`attempt`] makes one send.
+
+pub mod address;
+pub mod attempt;
+pub mod board;
+pub mod budget;
+pub mod dialect;
+pub mod door;
+pub mod latency;
+pub mod link;
+pub mod merge;
+pub mod query;
+pub mod run;
--- /dev/null
+++ b/src/forward/attempt.rs
@@ -0,0 +1,259 @@
+//! Sends a request to one searcher.
+
+use crate::clock;
+use crate::forward::board;
+use crate::forward::dialect;
+use crate::forward::link;
+use crate::forward::query;
+use bytes::Bytes;
+use compact_str::CompactString;
+use http_body_util::BodyExt as _;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use std::sync;
+use std::time;
+use tokio::net::TcpStream;
+
+/// The longest time for a connection to open: two round trips between regions, what a busy searcher takes
+/// to accept, and some.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+/// The longest time that a connection is waited for to be free for the next request.
+const REUSE_TIMEOUT: time::Duration = time::Duration::from_millis(50);
+/// The largest body of an answer.
+const ANSWER_MAX_BYTES: usize = 8 << 20;
+/// The longest request body after which a connection is used again: an answer may come before a searcher
+/// has read a longer one, and what is left of it would be taken for the next request.
+const REUSE_BODY_MAX_BYTES: usize = 8 << 10;
+/// What is too little time to offer a request.
+const OFFER_MIN_US: u64 = 2_000;
+
+/// A client's request, as it is passed on.
+#[derive(Debug)]
+pub struct Outgoing {
+    /// The method.
+    pub method: http::Method,
+    /// Path and query.
+    pub uri: http::Uri,
+    /// The headers that are passed on.
+    pub headers: http::HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// The client's id of the request.
+    pub id: CompactString,
+    /// When the request is of no use any more.
+    pub deadline_us: u64,
+}
+
+/// A send's end: what the query hears, and what the board does.
+pub struct Ended {
+    /// For the query.
+    pub outcome: query::Outcome,
+    /// For the board.
+    pub report: board::Report,
+    /// Why there is no answer, for the log.
+    pub detail: CompactString,
+}
+
+impl Ended {
+    fn new(outcome: query::Outcome, report: board::Report, detail: impl Into<CompactString>) -> Self {
+        Self { outcome, report, detail: detail.into() }
+    }
+
+    fn not_sent(detail: impl Into<CompactString>) -> Self {
+        Self::new(query::Outcome::NotSent, board::Report::Unreachable, detail)
+    }
+
+    fn lost(detail: impl Into<CompactString>) -> Self {
+        Self::new(query::Outcome::Lost, board::Report::Failed, detail)
+    }
+}
+
+/// A connection, and whether it has served before.
+struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    is_reused: bool,
+}
+
+/// Sends a request and waits for the whole answer. The connection is kept if it is fit for another request.
+pub async fn send(
+    link: &sync::Arc<link::Link>,
+    outgoing: &Outgoing,
+    headers: &dialect::Headers,
+) -> Ended {
+    let sent_us = clock::now_us();
+    let left_us = outgoing.deadline_us.saturating_sub(sent_us);
+    if left_us < OFFER_MIN_US {
+        return Ended::new(query::Outcome::NotSent, board::Report::Cancelled, "no time left");
+    }
+    let deadline = time::Duration::from_micros(left_us);
+    match tokio::time::timeout(deadline, exchange(link, outgoing, headers, sent_us)).await {
+        Ok(ended) => ended,
+        Err(_) => {
+            let waited_us = clock::now_us().saturating_sub(sent_us);
+            let report = board::Report::Silent { waited_us };
+            Ended::new(query::Outcome::Lost, report, "no answer in time")
+        }
+    }
+}
+
+async fn exchange(
+    link: &sync::Arc<link::Link>,
+    outgoing: &Outgoing,
+    headers: &dialect::Headers,
+    sent_us: u64,
+) -> Ended {
+    let mut connection = match connect(link).await {
+        Ok(connection) => connection,
+        Err(ended) => return ended,
+    };
+    let request = match build(link, outgoing, headers) {
+        Ok(request) => request,
+        Err(error) => {
+            let report = board::Report::Cancelled;
+            return Ended::new(query::Outcome::NotSent, report, error.to_string());
+        }
+    };
+    let response = match connection.sender.try_send_request(request).await {
+        Ok(response) => response,
+        Err(mut error) => {
+            link.close_idle();
+            if error.take_message().is_none() {
+                return Ended::lost(error.into_error().to_string());
+            }
+            if !connection.is_reused {
+                return Ended::not_sent(error.into_error().to_string());
+            }
+            // The idle connection was closed before anything was written to it.
+            return Box::pin(exchange(link, outgoing, headers, sent_us)).await;
+        }
+    };
+    let ended = read(response, link, outgoing, headers, sent_us).await;
+    match ended {
+        Ok((ended, keep_alive_us)) => {
+            if outgoing.body.len() <= REUSE_BODY_MAX_BYTES {
+                tokio::spawn(reuse(link.clone(), connection.sender, keep_alive_us));
+            }
+            ended
+        }
+        Err(ended) => ended,
+    }
+}
+
+/// Takes an idle connection, or opens one.
+async fn connect(link: &sync::Arc<link::Link>) -> Result<Connection, Ended> {
+    if let Some(idle) = link.take_idle() {
+        return Ok(Connection { sender: idle.sender, is_reused: true });
+    }
+    let guard = link.opened();
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(link.searcher.address));
+    let stream = match connecting.await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(Ended::not_sent(error.to_string())),
+        Err(_) => return Err(Ended::not_sent("connection took too long to open")),
+    };
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "TCP_NODELAY could not be set");
+    }
+    let (sender, connection) = match http1::handshake(TokioIo::new(stream)).await {
+        Ok(both) => both,
+        Err(error) => return Err(Ended::not_sent(error.to_string())),
+    };
+    tokio::spawn(async move {
+        let _open = guard;
+        if let Err(error) = connection.await {
+            tracing::debug!(%error, "searcher's connection ended");
+        }
+    });
+    Ok(Connection { sender, is_reused: false })
+}
+
+fn build(
+    link: &link::Link,
+    outgoing: &Outgoing,
+    headers: &dialect::Headers,
+) -> Result<http::Request<Full<Bytes>>, http::Error> {
+    let left_ms = outgoing.deadline_us.saturating_sub(clock::now_us()) / 1_000;
+    let mut request = http::Request::builder()
+        .method(outgoing.method.clone())
+        .uri(outgoing.uri.clone())
+        .header(headers.deadline_ms.clone(), left_ms.max(1))
+        .header(headers.expected_searcher.clone(), link.id.as_str())
+        .body(Full::new(outgoing.body.clone()))?;
+    let own = request.headers_mut();
+    for (name, value) in &outgoing.headers {
+        own.append(name.clone(), value.clone());
+    }
+    Ok(request)
+}
+
+/// Reads the answer. `Ok` if the connection may serve again, with the searcher's idle timeout.
+async fn read(
+    response: http::Response<hyper::body::Incoming>,
+    link: &link::Link,
+    outgoing: &Outgoing,
+    headers: &dialect::Headers,
+    sent_us: u64,
+) -> Result<(Ended, Option<u64>), Ended> {
+    let (head, body) = response.into_parts();
+    let echoed = head.headers.get(&headers.request_id);
+    if echoed.is_some_and(|id| id.as_bytes() != outgoing.id.as_bytes()) {
+        link.close_idle();
+        return Err(Ended::lost("the answer belongs to another request"));
+    }
+    let limited = http_body_util::Limited::new(body, ANSWER_MAX_BYTES);
+    let body = match limited.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return Err(Ended::lost(format!("the answer broke off: {error}"))),
+    };
+    let keep_alive_us = keep_alive_us(&head.headers);
+    if head.status == http::StatusCode::MISDIRECTED_REQUEST {
+        link.set_misdirected();
+        let report = board::Report::Unreachable;
+        return Err(Ended::new(query::Outcome::NotRun, report, "another searcher has the address"));
+    }
+    if head.headers.contains_key(&headers.not_executed) {
+        let ended = Ended::new(query::Outcome::NotRun, board::Report::Full, "rejected");
+        return Ok((ended, keep_alive_us));
+    }
+    let stamp = head.headers.get(&headers.stamp).cloned();
+    let is_encoded = head.headers.contains_key(http::header::CONTENT_ENCODING);
+    if head.status.is_success() && (stamp.is_none() || is_encoded || echoed.is_none()) {
+        return Err(Ended::lost("the answer is not the searcher's own"));
+    }
+    let latency_us = clock::now_us().saturating_sub(sent_us);
+    let report = match head.status.is_server_error() {
+        true => board::Report::Failed,
+        false => board::Report::Answered { latency_us },
+    };
+    let detail = head.status.as_str().to_owned();
+    let answer = query::Answer { status: head.status, headers: head.headers, stamp, body };
+    Ok((Ended::new(query::Outcome::Answered(answer), report, detail), keep_alive_us))
+}
+
+/// The idle timeout that a searcher states, if it does.
+fn keep_alive_us(headers: &http::HeaderMap) -> Option<u64> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    for item in text.split(',') {
+        let Some((name, value)) = item.trim().split_once('=') else {
+            continue;
+        };
+        if name.trim().eq_ignore_ascii_case("timeout") {
+            let seconds: u64 = value.trim().parse().ok()?;
+            return Some(seconds * 1_000_000);
+        }
+    }
+    None
+}
+
+/// Keeps the connection once it is free again.
+async fn reuse(
+    link: sync::Arc<link::Link>,
+    mut sender: http1::SendRequest<Full<Bytes>>,
+    keep_alive_us: Option<u64>,
+) {
+    // A connection that is closed or still busy is dropped.
+    if let Ok(Ok(())) = tokio::time::timeout(REUSE_TIMEOUT, sender.ready()).await {
+        link.put_idle(sender, keep_alive_us);
+    }
+}
--- /dev/null
+++ b/src/forward/budget.rs
@@ -0,0 +1,130 @@
+//! The budget of second sends.
+//!
+//! For each service and any window of some seconds, all instances together may send a fixed share of the
+//! clients' requests once more, and a fixed number besides. Each instance keeps to the share of the requests
+//! that it has taken itself, and to its part of the fixed number, so that nobody has to be asked.
+
+use crate::ids;
+
+/// How many slices the window is counted in.
+const SLICES: usize = 40;
+
+/// What stays unused of the budget: the slices are coarse, and instances come and go.
+const USED_SHARE: f64 = 0.85;
+
+/// The share of the budget that requests of a priority may use, the most urgent first. What is left is
+/// reserved for more urgent ones.
+const PRIORITY_SHARES: [f64; 3] = [1.0, 0.8, 0.6];
+
+/// The rule that all instances keep together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rule {
+    /// Second sends for each request of a client.
+    pub ratio: f64,
+    /// Second sends beside those, in a window, of all instances together.
+    pub slack: f64,
+    /// The window's length.
+    pub window_us: u64,
+}
+
+/// Counts in slices of a window that ends now.
+#[derive(Clone, Debug)]
+struct Window {
+    slice_us: u64,
+    slices: [u32; SLICES],
+    /// The slice that is counted in, numbered from the clock's start.
+    current: u64,
+    total: u32,
+}
+
+impl Window {
+    fn new(window_us: u64) -> Self {
+        let slice_us = (window_us / (SLICES as u64 - 1)).max(1);
+        Self { slice_us, slices: [0; SLICES], current: 0, total: 0 }
+    }
+
+    fn advance(&mut self, now_us: u64) {
+        let now = now_us / self.slice_us;
+        if now <= self.current {
+            return;
+        }
+        let steps = (now - self.current).min(SLICES as u64);
+        for step in 0..steps {
+            let at = ((now - step) % SLICES as u64) as usize;
+            self.total -= self.slices[at];
+            self.slices[at] = 0;
+        }
+        self.current = now;
+    }
+
+    fn add(&mut self, now_us: u64) {
+        self.advance(now_us);
+        self.slices[(self.current % SLICES as u64) as usize] += 1;
+        self.total += 1;
+    }
+
+    fn total(&mut self, now_us: u64) -> u32 {
+        self.advance(now_us);
+        self.total
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Account {
+    requests: Window,
+    extras: Window,
+}
+
+/// An instance's budgets, one for each service.
+#[derive(Clone, Debug)]
+pub struct Budgets {
+    rule: Rule,
+    sharers: u32,
+    /// Sorted by service.
+    accounts: Vec<(ids::ServiceName, Account)>,
+}
+
+impl Budgets {
+    /// Budgets that are shared with nobody yet.
+    pub fn new(rule: Rule) -> Self {
+        Self { rule, sharers: 1, accounts: Vec::new() }
+    }
+
+    /// Sets among how many instances the fixed number is divided.
+    pub fn share_among(&mut self, sharers: u32) {
+        self.sharers = sharers.max(1);
+    }
+
+    /// Counts a client's request that goes to a service.
+    pub fn requested(&mut self, now_us: u64, service: &ids::ServiceName) {
+        self.account(service).requests.add(now_us);
+    }
+
+    /// Takes one second send to a service from the budget, if there is one left for this priority.
+    pub fn spend(&mut self, now_us: u64, service: &ids::ServiceName, priority: u8) -> bool {
+        let rule = self.rule;
+        let slack = rule.slack / f64::from(self.sharers);
+        let share = PRIORITY_SHARES[usize::from(priority).min(PRIORITY_SHARES.len() - 1)];
+        let account = self.account(service);
+        let requests = f64::from(account.requests.total(now_us));
+        let allowed = (rule.ratio * requests + slack) * USED_SHARE * share;
+        if f64::from(account.extras.total(now_us)) + 1.0 > allowed {
+            return false;
+        }
+        account.extras.add(now_us);
+        true
+    }
+
+    fn account(&mut self, service: &ids::ServiceName) -> &mut Account {
+        let at = match self.accounts.binary_search_by(|(known, _)| known.cmp(service)) {
+            Ok(at) => at,
+            Err(at) => {
+                let window = Window::new(self.rule.window_us);
+                let account = Account { requests: window.clone(), extras: window };
+                self.accounts.insert(at, (service.clone(), account));
+                at
+            }
+        };
+        &mut self.accounts[at].1
+    }
+}
--- /dev/null
+++ b/src/forward/door.rs
@@ -0,0 +1,492 @@
+//! The HTTP servers: for clients, for their question where to connect, and for the readiness check.
+
+use crate::clock;
+use crate::discovery::config;
+use crate::discovery::members;
+use crate::discovery::view;
+use crate::event;
+use crate::events::Event;
+use crate::forward::address;
+use crate::forward::attempt;
+use crate::forward::dialect;
+use crate::forward::merge;
+use crate::forward::query;
+use crate::forward::run;
+use crate::ids;
+use bytes::Bytes;
+use compact_str::CompactString;
+use http_body_util::BodyExt as _;
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use std::convert;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// How long clients may keep the answer to where to connect. Some keep it three times as long, which has
+/// to be over before an instance that stops is gone.
+const ADDRESS_TTL_S: f64 = 1.0;
+/// When a client may come back to an instance that knows no configuration yet.
+const RETRY_AFTER_UNREADY_MS: u64 = 500;
+/// The idle timeout of a client's connection while no configuration is known.
+const IDLE_TIMEOUT_DEFAULT_MS: u64 = 15_000;
+/// The longest body while no configuration is known.
+const BODY_DEFAULT_MAX_BYTES: u64 = 256 << 10;
+/// The smallest buffer that the library accepts for a request's head.
+const HEAD_BUFFER_MIN_BYTES: usize = 8 << 10;
+
+/// How far a stop has gone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Not stopping.
+    #[default]
+    Serving,
+    /// Out of the addresses that clients are told; connections are closed after their next answer.
+    Leaving,
+    /// Idle connections are closed, and no new ones accepted.
+    Closing,
+}
+
+/// The servers' state.
+pub struct Door {
+    view: sync::Arc<view::View>,
+    forwarder: sync::Arc<run::Forwarder>,
+    phase: watch::Sender<Phase>,
+    open_count: atomic::AtomicUsize,
+}
+
+/// Closes the client's connection without an answer.
+#[derive(Debug, thiserror::Error)]
+#[error("the client's request could not be read")]
+struct Unreadable;
+
+type Response = http::Response<Full<Bytes>>;
+
+impl Door {
+    /// Servers that nobody is connected to.
+    pub fn new(view: sync::Arc<view::View>, forwarder: sync::Arc<run::Forwarder>) -> Self {
+        Self {
+            view,
+            forwarder,
+            phase: watch::Sender::new(Phase::Serving),
+            open_count: atomic::AtomicUsize::new(0),
+        }
+    }
+
+    /// Moves on to a phase of the stop.
+    pub fn enter(&self, phase: Phase) {
+        self.phase.send_replace(phase);
+    }
+
+    /// How many clients are connected.
+    pub fn open_count(&self) -> usize {
+        self.open_count.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Serves clients' requests until the stop closes the door.
+    pub async fn serve_clients(self: sync::Arc<Self>, listener: TcpListener) {
+        let mut phase = self.phase.subscribe();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = closing(&mut phase) => return,
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    tokio::spawn(self.clone().serve_client(stream));
+                }
+                Err(error) => {
+                    event!(warn, Event::AcceptFailed, %error, port = "front");
+                    tokio::time::sleep(time::Duration::from_millis(20)).await;
+                }
+            }
+        }
+    }
+
+    async fn serve_client(self: sync::Arc<Self>, stream: TcpStream) {
+        if let Err(error) = stream.set_nodelay(true) {
+            tracing::debug!(%error, "TCP_NODELAY could not be set");
+        }
+        self.open_count.fetch_add(1, atomic::Ordering::Relaxed);
+        let limits = self.view.table().map(|table| table.config.limits);
+        let idle_ms = limits.map_or(IDLE_TIMEOUT_DEFAULT_MS, |limits| limits.idle_timeout_ms);
+        let door = self.clone();
+        let service = service::service_fn(move |request| {
+            let door = door.clone();
+            async move { door.answer(request).await }
+        });
+        let mut builder = http1::Builder::new();
+        builder.timer(TokioTimer::new());
+        builder.header_read_timeout(time::Duration::from_millis(idle_ms));
+        if let Some(limits) = limits {
+            builder.max_buf_size((limits.header_max_bytes as usize * 2).max(HEAD_BUFFER_MIN_BYTES));
+        }
+        let mut connection = Box::pin(builder.serve_connection(TokioIo::new(stream), service));
+        let mut phase = self.phase.subscribe();
+        let served = tokio::select! {
+            served = connection.as_mut() => served,
+            () = closing(&mut phase) => {
+                connection.as_mut().graceful_shutdown();
+                connection.as_mut().await
+            }
+        };
+        if let Err(error) = served {
+            tracing::debug!(%error, "client's connection ended");
+        }
+        self.open_count.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+
+    async fn answer(
+        &self,
+        request: http::Request<hyper::body::Incoming>,
+    ) -> Result<Response, Unreadable> {
+        let arrived_us = clock::now_us();
+        let Some(table) = self.view.table().filter(|_| self.view.is_complete()) else {
+            return Ok(self.closing(refuse(RETRY_AFTER_UNREADY_MS)));
+        };
+        let names = &self.forwarder.dialect().headers;
+        let (head, body) = request.into_parts();
+        let host = head.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
+        let route = host.and_then(|host| table.find(host, head.uri.path()));
+        let id = text(&head.headers, &names.request_id);
+        let Some(route) = route else {
+            event!(
+                info,
+                Event::NoRoute,
+                request = %id,
+                host = host.unwrap_or_default(),
+                path = head.uri.path(),
+                config = table.config.version.0
+            );
+            return Ok(self.closing(status(http::StatusCode::NOT_FOUND)));
+        };
+        if id.is_empty() {
+            return Ok(self.closing(status(http::StatusCode::BAD_REQUEST)));
+        }
+        let limits = &table.config.limits;
+        let max_bytes = limits.body_max_bytes.max(BODY_DEFAULT_MAX_BYTES) as usize;
+        let body = match http_body_util::Limited::new(body, max_bytes).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+                return Ok(self.closing(status(http::StatusCode::PAYLOAD_TOO_LARGE)));
+            }
+            Err(error) => {
+                tracing::debug!(request = %id, %error, "request's body broke off");
+                return Err(Unreadable);
+            }
+        };
+        let deadline_ms = text(&head.headers, &names.deadline_ms).parse().unwrap_or(route.timeout_ms);
+        let patience_us = deadline_ms.min(route.timeout_ms) * 1_000;
+        let ask = ask(route, arrived_us, patience_us);
+        let outgoing = attempt::Outgoing {
+            method: head.method,
+            uri: origin_form(&head.uri),
+            headers: passed_on(&head.headers, names),
+            body,
+            id: id.clone(),
+            deadline_us: arrived_us + patience_us,
+        };
+        let outgoing = sync::Arc::new(outgoing);
+        let report = if ask.is_idempotent {
+            self.forwarder.run(ask, outgoing).await
+        } else {
+            // A client that hangs up must not stop a request that may run once only half way.
+            let forwarder = self.forwarder.clone();
+            let running = tokio::spawn(async move { forwarder.run(ask, outgoing).await });
+            running.await.map_err(|_| Unreadable)?
+        };
+        let response = self.respond(&report, route);
+        self.log(&id, route, &table.config, arrived_us, &report, response.status());
+        Ok(self.closing(response))
+    }
+
+    /// An answer that is the connection's last one while the instance stops.
+    fn closing(&self, mut response: Response) -> Response {
+        if *self.phase.borrow() != Phase::Serving {
+            let close = http::HeaderValue::from_static("close");
+            response.headers_mut().insert(http::header::CONNECTION, close);
+        }
+        response
+    }
+
+    fn respond(&self, report: &run::Report, route: &config::Route) -> Response {
+        let names = &self.forwarder.dialect().headers;
+        match &report.verdict {
+            query::Verdict::Gathered(parts) => gathered(parts, route, names),
+            query::Verdict::Single(answer) => single(answer),
+            query::Verdict::NotRun { retry_after_ms } => refuse(*retry_after_ms),
+            query::Verdict::Failed => status(http::StatusCode::BAD_GATEWAY),
+            query::Verdict::TimedOut => status(http::StatusCode::GATEWAY_TIMEOUT),
+        }
+    }
+
+    fn log(
+        &self,
+        id: &str,
+        route: &config::Route,
+        config: &config::Config,
+        arrived_us: u64,
+        report: &run::Report,
+        status: http::StatusCode,
+    ) {
+        let latency_ms = clock::now_us().saturating_sub(arrived_us) as f64 / 1_000.0;
+        let is_late = latency_ms > route.target_latency_ms as f64;
+        let parts = match &route.target {
+            config::Target::Gather(gather) => gather.shards.len(),
+            _ => 1,
+        };
+        let is_good = status.is_success() && !is_late && report.answered_count == parts;
+        let ages = self.view.ages();
+        if is_good {
+            event!(debug, Event::RequestServed, request = %id, route = %route.name, latency_ms);
+            return;
+        }
+        event!(
+            info,
+            Event::RequestTroubled,
+            request = %id,
+            route = %route.name,
+            priority = route.priority,
+            status = status.as_u16(),
+            latency_ms,
+            target_ms = route.target_latency_ms,
+            parts = report.answered_count,
+            parts_wanted = parts,
+            extra_sends = report.extra_count,
+            config = config.version.0,
+            config_age_ms = ages.config_us.map(|us| us / 1_000),
+            searchers_age_ms = ages.searchers_us.map(|us| us / 1_000),
+            troubles = %report.troubles
+        );
+    }
+
+    /// Answers clients that ask where to connect, until the process ends.
+    pub async fn serve_directory(self: sync::Arc<Self>, listener: TcpListener) {
+        let door = self.clone();
+        serve_plain(listener, "directory", move |uri| door.directory(uri)).await;
+    }
+
+    fn directory(&self, uri: &http::Uri) -> Response {
+        let dialect = self.forwarder.dialect();
+        let Some(call) = (dialect.parse_directory)(uri) else {
+            return status(http::StatusCode::NOT_FOUND);
+        };
+        let addresses = self
+            .view
+            .with_members(|members| address::addresses(&members.live(), &call.region));
+        if addresses.is_empty() {
+            return refuse(RETRY_AFTER_UNREADY_MS);
+        }
+        let reply = dialect::DirectoryReply { addresses, ttl_s: ADDRESS_TTL_S };
+        let mut response = Response::new(Full::new((dialect.write_directory)(&reply)));
+        let json = http::HeaderValue::from_static("application/json");
+        response.headers_mut().insert(http::header::CONTENT_TYPE, json);
+        response
+    }
+
+    /// Answers the readiness check until the process ends.
+    pub async fn serve_readiness(self: sync::Arc<Self>, listener: TcpListener) {
+        let door = self.clone();
+        serve_plain(listener, "ready", move |uri| {
+            if uri.path() != door.forwarder.dialect().readiness_path {
+                return status(http::StatusCode::NOT_FOUND);
+            }
+            let state = door.view.with_members(|members| members.me().state);
+            match state {
+                members::MemberState::Ready => status(http::StatusCode::OK),
+                _ => status(http::StatusCode::SERVICE_UNAVAILABLE),
+            }
+        })
+        .await;
+    }
+}
+
+/// Waits until the stop closes the door.
+async fn closing(phase: &mut watch::Receiver<Phase>) {
+    // An error would mean that the door is gone, and with it the process.
+    let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+}
+
+/// Serves calls that are answered at once.
+async fn serve_plain(
+    listener: TcpListener,
+    port: &'static str,
+    answer: impl Fn(&http::Uri) -> Response + Send + Sync + 'static,
+) {
+    let answer = sync::Arc::new(answer);
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                event!(warn, Event::AcceptFailed, %error, port);
+                tokio::time::sleep(time::Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        let answer = answer.clone();
+        let service = service::service_fn(move |request: http::Request<hyper::body::Incoming>| {
+            let response = answer(request.uri());
+            async move { Ok::<_, convert::Infallible>(response) }
+        });
+        tokio::spawn(async move {
+            let mut builder = http1::Builder::new();
+            builder.timer(TokioTimer::new());
+            builder.header_read_timeout(time::Duration::from_millis(IDLE_TIMEOUT_DEFAULT_MS));
+            let served = builder.serve_connection(TokioIo::new(stream), service).await;
+            if let Err(error) = served {
+                tracing::debug!(%error, port, "connection ended");
+            }
+        });
+    }
+}
+
+/// What a query needs to know of its route.
+fn ask(route: &config::Route, arrived_us: u64, patience_us: u64) -> query::Ask {
+    let (services, parts_min, is_gather) = match &route.target {
+        config::Target::Service(service) => (vec![service.clone()], 1, false),
+        config::Target::Split(parts) => (draw(parts).into_iter().collect(), 1, false),
+        config::Target::Gather(gather) => (gather.shards.clone(), gather.shards_min(), true),
+    };
+    query::Ask {
+        route: route.name.clone(),
+        priority: route.priority,
+        is_idempotent: route.repeatability == config::Repeatability::Idempotent,
+        attempts: route.attempts.max(1),
+        services,
+        parts_min,
+        is_gather,
+        arrived_us,
+        target_us: route.target_latency_ms * 1_000,
+        patience_us,
+    }
+}
+
+/// Draws a service in proportion to the weights.
+fn draw(parts: &[config::WeightedService]) -> Option<ids::ServiceName> {
+    let total: f64 = parts.iter().map(|part| part.weight).sum();
+    let mut left = rand::random::<f64>() * total;
+    for part in parts {
+        if left < part.weight {
+            return Some(part.service.clone());
+        }
+        left -= part.weight;
+    }
+    parts.iter().rev().find(|part| part.weight > 0.0).map(|part| part.service.clone())
+}
+
+fn gathered(
+    parts: &[Option<query::Answer>],
+    route: &config::Route,
+    names: &dialect::Headers,
+) -> Response {
+    let config::Target::Gather(gather) = &route.target else {
+        return status(http::StatusCode::BAD_GATEWAY);
+    };
+    let answers: Vec<&query::Answer> = parts.iter().flatten().collect();
+    let bodies = answers.iter().map(|answer| &answer.body);
+    let body = merge::top_records(bodies, gather.top_count as usize);
+    let mut response = Response::new(Full::new(body));
+    let stamps: Vec<&[u8]> = answers
+        .iter()
+        .filter_map(|answer| answer.stamp.as_ref())
+        .map(http::HeaderValue::as_bytes)
+        .collect();
+    let Ok(stamps) = http::HeaderValue::from_bytes(&stamps.join(&b", "[..])) else {
+        return status(http::StatusCode::BAD_GATEWAY);
+    };
+    let headers = response.headers_mut();
+    headers.insert(names.part_stamps.clone(), stamps);
+    headers.insert(names.missing_parts.clone(), (parts.len() - answers.len()).into());
+    response
+}
+
+/// A searcher's answer, passed on as it is.
+fn single(answer: &query::Answer) -> Response {
+    // These statuses would promise that the request has not run, but the searcher has not said so.
+    let promises = matches!(answer.status.as_u16(), 408 | 421 | 429 | 503);
+    if promises {
+        return status(http::StatusCode::BAD_GATEWAY);
+    }
+    let mut response = Response::new(Full::new(answer.body.clone()));
+    *response.status_mut() = answer.status;
+    let listed = listed_by_connection(&answer.headers);
+    for (name, value) in &answer.headers {
+        if is_per_connection(name, &listed) || name == http::header::CONTENT_LENGTH {
+            continue;
+        }
+        response.headers_mut().append(name.clone(), value.clone());
+    }
+    response
+}
+
+fn refuse(retry_after_ms: u64) -> Response {
+    let mut response = status(http::StatusCode::SERVICE_UNAVAILABLE);
+    let seconds = format!("{:.3}", retry_after_ms as f64 / 1_000.0);
+    if let Ok(value) = http::HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(http::header::RETRY_AFTER, value);
+    }
+    response
+}
+
+fn status(status: http::StatusCode) -> Response {
+    let mut response = Response::new(Full::new(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+fn text(headers: &http::HeaderMap, name: &http::HeaderName) -> CompactString {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().into()
+}
+
+/// The client's headers that go to the searcher.
+fn passed_on(headers: &http::HeaderMap, names: &dialect::Headers) -> http::HeaderMap {
+    let listed = listed_by_connection(headers);
+    let mut passed = http::HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let is_own = name == names.deadline_ms || name == names.expected_searcher;
+        if is_own || is_per_connection(name, &listed) || name == http::header::CONTENT_LENGTH {
+            continue;
+        }
+        passed.append(name.clone(), value.clone());
+    }
+    passed
+}
+
+/// The headers that `Connection` names: they concern one connection only.
+fn listed_by_connection(headers: &http::HeaderMap) -> Vec<CompactString> {
+    let mut listed = Vec::new();
+    for value in headers.get_all(http::header::CONNECTION) {
+        for name in value.to_str().unwrap_or_default().split(',') {
+            listed.push(CompactString::from(name.trim().to_ascii_lowercase()));
+        }
+    }
+    listed
+}
+
+fn is_per_connection(name: &http::HeaderName, listed: &[CompactString]) -> bool {
+    const PER_CONNECTION: [&str; 9] = [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ];
+    PER_CONNECTION.contains(&name.as_str()) || listed.iter().any(|known| known == name.as_str())
+}
+
+fn origin_form(uri: &http::Uri) -> http::Uri {
+    let Some(path) = uri.path_and_query() else {
+        return http::Uri::from_static("/");
+    };
+    http::Uri::from(path.clone())
+}
--- /dev/null
+++ b/src/forward/query.rs
@@ -0,0 +1,422 @@
+//! The decisions on one request: which searchers get it, when it is sent once more, and when and how it is
+//! answered. No sockets, no clock: `(now, input) -> sends`, and a verdict when there is one.
+//!
+//! A request to one service is a query with one part; a gather has a part for each shard. A part is sent
+//! to a second searcher when the first has failed, or when it takes much longer than usual (a hedge), as far
+//! as the budget goes. A gather is answered when all parts are in; from its target latency on, when enough
+//! are; at once, when enough can't come in any more.
+
+use crate::forward::board;
+use crate::forward::budget;
+use crate::forward::latency;
+use crate::forward::link;
+use crate::ids;
+use bytes::Bytes;
+use compact_str::CompactString;
+use std::sync;
+
+/// A hedge of a gather's part goes out when it takes this many times the median.
+const GATHER_HEDGE_FACTOR: u64 = 2;
+/// A hedge of a request to one service goes out when it takes this many times the median.
+const SINGLE_HEDGE_FACTOR: u64 = 3;
+/// The least time before a hedge.
+const HEDGE_MIN_US: u64 = 8_000;
+/// When a hedge that the budget did not allow is looked at again.
+const HEDGE_AGAIN_US: u64 = 25_000;
+/// How much sooner than the target latency an answer leaves: the way from and to the client, and the time
+/// to write it.
+const TARGET_MARGIN_US: u64 = 10_000;
+/// How much sooner than the client's deadline a query is given up.
+const DEADLINE_MARGIN_US: u64 = 8_000;
+/// How many sends a part may take beyond its attempts, for those that searchers have rejected.
+const REJECTIONS_MAX: u32 = 2;
+/// When a client may come back whose request found no searcher.
+const RETRY_AFTER_MS: u64 = 400;
+
+/// What is asked.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The route's name.
+    pub route: CompactString,
+    /// Its urgency, 0 is the most urgent.
+    pub priority: u8,
+    /// Whether it may run more than once.
+    pub is_idempotent: bool,
+    /// To how many searchers each part may be sent.
+    pub attempts: u32,
+    /// The services, one for each part.
+    pub services: Vec<ids::ServiceName>,
+    /// The least number of parts that makes an answer.
+    pub parts_min: usize,
+    /// Whether the parts are a gather's.
+    pub is_gather: bool,
+    /// When the request came in.
+    pub arrived_us: u64,
+    /// The time within which an answer is worth most.
+    pub target_us: u64,
+    /// How long the client waits, or the route's timeout if that is shorter.
+    pub patience_us: u64,
+}
+
+/// A searcher's answer, whole.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Its status.
+    pub status: http::StatusCode,
+    /// Its headers.
+    pub headers: http::HeaderMap,
+    /// The searcher's signature.
+    pub stamp: Option<http::HeaderValue>,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// How a send ended.
+#[derive(Clone, Debug)]
+pub enum Outcome {
+    /// The searcher answered.
+    Answered(Answer),
+    /// The searcher says that it did not run the request.
+    NotRun,
+    /// Not a byte was sent.
+    NotSent,
+    /// No whole answer came; the request may have run.
+    Lost,
+}
+
+/// A send to make.
+pub struct Send {
+    /// Its number within the query.
+    pub number: usize,
+    /// The searcher and its ticket on the board.
+    pub choice: board::Choice,
+    /// The usual work time of the route.
+    pub typical_us: u64,
+}
+
+/// How a query ends.
+#[derive(Clone, Debug)]
+pub enum Verdict {
+    /// A gather's parts, `None` where a shard is missing.
+    Gathered(Vec<Option<Answer>>),
+    /// The answer of a searcher.
+    Single(Answer),
+    /// Nothing has run, and nothing will.
+    NotRun {
+        /// When the client may come back.
+        retry_after_ms: u64,
+    },
+    /// It may have run, and there is no answer.
+    Failed,
+    /// Its time is over.
+    TimedOut,
+}
+
+/// What the decisions look at.
+pub struct Desk<'a> {
+    /// The searchers.
+    pub board: &'a mut board::Board,
+    /// The budgets of second sends.
+    pub budgets: &'a mut budget::Budgets,
+    /// The usual latencies.
+    pub latencies: &'a latency::Latencies,
+}
+
+/// Why a send was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Reason {
+    /// It is the part's first.
+    First,
+    /// The one before takes long.
+    Hedge,
+    /// The one before has failed.
+    Retry,
+}
+
+/// What is known of a send, for the log.
+#[derive(Clone, Debug)]
+pub struct SendRecord {
+    /// The part it belongs to.
+    pub part: usize,
+    /// The searcher.
+    pub link: sync::Arc<link::Link>,
+    /// Why it was made.
+    pub reason: Reason,
+    /// When.
+    pub sent_us: u64,
+    /// How it ended, and when.
+    pub ended: Option<(&'static str, u64)>,
+}
+
+impl std::fmt::Debug for link::Link {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.id)
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Part {
+    tried: Vec<CompactString>,
+    /// Sends under way.
+    running: usize,
+    /// Sends that may have run.
+    offered: u32,
+    rejected: u32,
+    hedge_at_us: Option<u64>,
+    answer: Option<Answer>,
+    /// An answer that is no success; it is the result if no better one comes.
+    failure: Option<Answer>,
+    has_failed: bool,
+}
+
+/// One request under way.
+pub struct Query {
+    ask: Ask,
+    parts: Vec<Part>,
+    sends: Vec<SendRecord>,
+    may_have_run: bool,
+}
+
+impl Query {
+    /// A query that has not begun.
+    pub fn new(ask: Ask) -> Self {
+        let parts = vec![Part::default(); ask.services.len()];
+        Self { ask, parts, sends: Vec::new(), may_have_run: false }
+    }
+
+    /// What is asked.
+    pub fn ask(&self) -> &Ask {
+        &self.ask
+    }
+
+    /// All sends so far.
+    pub fn sends(&self) -> &[SendRecord] {
+        &self.sends
+    }
+
+    /// How many parts are in.
+    pub fn answered_count(&self) -> usize {
+        self.parts.iter().filter(|part| part.answer.is_some()).count()
+    }
+
+    /// When the query's time is over.
+    pub fn deadline_us(&self) -> u64 {
+        let margin_us = DEADLINE_MARGIN_US.min(self.ask.patience_us / 10);
+        self.ask.arrived_us + self.ask.patience_us - margin_us
+    }
+
+    /// Until when a gather waits for all of its parts.
+    fn whole_until_us(&self) -> u64 {
+        let margin_us = TARGET_MARGIN_US.min(self.ask.target_us / 5);
+        self.ask.arrived_us + self.ask.target_us - margin_us
+    }
+
+    /// Begins: a send for each part, if enough of them have searchers at all.
+    pub fn start(&mut self, now_us: u64, desk: &mut Desk<'_>) -> Vec<Send> {
+        let mut served = 0;
+        for service in &self.ask.services {
+            desk.budgets.requested(now_us, service);
+            served += usize::from(desk.board.has_any(service));
+        }
+        if served < self.ask.parts_min {
+            for part in &mut self.parts {
+                part.has_failed = true;
+            }
+            return Vec::new();
+        }
+        let mut sends = Vec::with_capacity(self.parts.len());
+        for at in 0..self.parts.len() {
+            match self.send(now_us, desk, at, Reason::First) {
+                Some(send) => sends.push(send),
+                None => self.parts[at].has_failed = true,
+            }
+        }
+        sends
+    }
+
+    /// Takes in the end of a send. Returns the sends that follow from it.
+    pub fn ended(
+        &mut self,
+        now_us: u64,
+        desk: &mut Desk<'_>,
+        number: usize,
+        outcome: Outcome,
+    ) -> Vec<Send> {
+        let record = &mut self.sends[number];
+        record.ended = Some((outcome_name(&outcome), now_us));
+        let at = record.part;
+        let part = &mut self.parts[at];
+        part.running -= 1;
+        let mut is_unsent = false;
+        match outcome {
+            Outcome::Answered(answer) => {
+                self.may_have_run = true;
+                if answer.status.is_success() {
+                    part.answer.get_or_insert(answer);
+                    return Vec::new();
+                }
+                let is_final = answer.status.is_client_error();
+                part.failure = Some(answer);
+                if is_final {
+                    part.has_failed = part.answer.is_none() && part.running == 0;
+                    return Vec::new();
+                }
+            }
+            Outcome::Lost => self.may_have_run = true,
+            Outcome::NotRun => {
+                part.offered -= 1;
+                part.rejected += 1;
+            }
+            Outcome::NotSent => {
+                part.offered -= 1;
+                is_unsent = true;
+            }
+        }
+        if part.answer.is_some() || part.running > 0 {
+            return Vec::new();
+        }
+        let may_repeat = self.ask.is_idempotent || part.offered == 0;
+        let may_send = may_repeat
+            && part.offered < self.ask.attempts
+            && part.rejected <= REJECTIONS_MAX
+            && now_us < self.deadline_us();
+        let service = &self.ask.services[at];
+        if may_send
+            && (is_unsent || desk.budgets.spend(now_us, service, self.ask.priority))
+            && let Some(send) = self.send(now_us, desk, at, Reason::Retry)
+        {
+            return vec![send];
+        }
+        self.parts[at].has_failed = true;
+        Vec::new()
+    }
+
+    /// Looks at the time. Returns the hedges that are due.
+    pub fn tick(&mut self, now_us: u64, desk: &mut Desk<'_>) -> Vec<Send> {
+        let mut sends = Vec::new();
+        for at in 0..self.parts.len() {
+            let part = &mut self.parts[at];
+            let is_due = part.hedge_at_us.is_some_and(|due_us| due_us <= now_us);
+            if !is_due {
+                continue;
+            }
+            part.hedge_at_us = None;
+            let may_send = self.ask.is_idempotent
+                && part.answer.is_none()
+                && part.running > 0
+                && part.offered < self.ask.attempts
+                && part.rejected <= REJECTIONS_MAX;
+            if !may_send {
+                continue;
+            }
+            if !desk.budgets.spend(now_us, &self.ask.services[at], self.ask.priority) {
+                part.hedge_at_us = Some(now_us + HEDGE_AGAIN_US);
+                continue;
+            }
+            sends.extend(self.send(now_us, desk, at, Reason::Hedge));
+        }
+        sends
+    }
+
+    /// When to look at the time next.
+    pub fn wake_at_us(&self) -> u64 {
+        let mut at_us = self.deadline_us();
+        if self.ask.is_gather && self.ask.parts_min < self.parts.len() {
+            let whole_until_us = self.whole_until_us();
+            if self.answered_count() >= self.ask.parts_min {
+                at_us = at_us.min(whole_until_us);
+            }
+        }
+        for part in &self.parts {
+            if part.answer.is_some() || part.has_failed {
+                continue;
+            }
+            at_us = at_us.min(part.hedge_at_us.unwrap_or(u64::MAX));
+        }
+        at_us
+    }
+
+    /// How the query ends, if it does now.
+    pub fn verdict(&mut self, now_us: u64) -> Option<Verdict> {
+        let answered = self.answered_count();
+        let failed =
+            self.parts.iter().filter(|part| part.answer.is_none() && part.has_failed).count();
+        let open = self.parts.len() - answered - failed;
+        let is_enough = answered >= self.ask.parts_min;
+        if open == 0 && is_enough || is_enough && now_us >= self.whole_until_us() {
+            return Some(self.success());
+        }
+        if answered + open < self.ask.parts_min {
+            return Some(self.failure());
+        }
+        if now_us >= self.deadline_us() {
+            return Some(Verdict::TimedOut);
+        }
+        None
+    }
+
+    fn success(&mut self) -> Verdict {
+        let mut answers: Vec<Option<Answer>> =
+            self.parts.iter_mut().map(|part| part.answer.take()).collect();
+        if self.ask.is_gather {
+            return Verdict::Gathered(answers);
+        }
+        match answers.pop().flatten() {
+            Some(answer) => Verdict::Single(answer),
+            None => Verdict::Failed,
+        }
+    }
+
+    fn failure(&mut self) -> Verdict {
+        let is_running = self.parts.iter().any(|part| part.running > 0);
+        if !self.may_have_run && !is_running {
+            return Verdict::NotRun { retry_after_ms: RETRY_AFTER_MS };
+        }
+        if self.ask.is_gather {
+            return Verdict::Failed;
+        }
+        match self.parts.iter_mut().find_map(|part| part.failure.take()) {
+            Some(answer) => Verdict::Single(answer),
+            None => Verdict::Failed,
+        }
+    }
+
+    fn send(
+        &mut self,
+        now_us: u64,
+        desk: &mut Desk<'_>,
+        at: usize,
+        reason: Reason,
+    ) -> Option<Send> {
+        let typical_us = desk.latencies.median_us(&self.ask.route);
+        let part = &mut self.parts[at];
+        let choice =
+            desk.board.choose(now_us, &self.ask.services[at], &part.tried, typical_us)?;
+        part.tried.push(choice.link.id.clone());
+        part.running += 1;
+        part.offered += 1;
+        let factor = if self.ask.is_gather { GATHER_HEDGE_FACTOR } else { SINGLE_HEDGE_FACTOR };
+        let delay_us = choice.link.distance.round_trip_us() + typical_us * factor;
+        part.hedge_at_us = Some(now_us + delay_us.max(HEDGE_MIN_US));
+        let number = self.sends.len();
+        self.sends.push(SendRecord {
+            part: at,
+            link: choice.link.clone(),
+            reason,
+            sent_us: now_us,
+            ended: None,
+        });
+        Some(Send { number, choice, typical_us })
+    }
+}
+
+fn outcome_name(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered(answer) if answer.status.is_success() => "answered",
+        Outcome::Answered(_) => "error_answer",
+        Outcome::NotRun => "rejected",
+        Outcome::NotSent => "not_sent",
+        Outcome::Lost => "lost",
+    }
+}
--- /dev/null
+++ b/src/forward/run.rs
@@ -0,0 +1,279 @@
+//! Runs queries: makes the sends that [`query`] decides on and feeds their ends back.
+
+use crate::clock;
+use crate::discovery::config;
+use crate::discovery::view;
+use crate::event;
+use crate::events::Event;
+use crate::forward::address;
+use crate::forward::attempt;
+use crate::forward::board;
+use crate::forward::budget;
+use crate::forward::dialect;
+use crate::forward::latency;
+use crate::forward::link;
+use crate::forward::query;
+use crate::ids;
+use crate::locks;
+use compact_str::CompactString;
+use std::sync;
+use std::time;
+use tokio::sync::mpsc;
+
+/// How long a send goes on after its query has ended: its answer tells how the searcher does, and the
+/// connection can be used again.
+const LINGER: time::Duration = time::Duration::from_millis(250);
+/// How often idle connections are looked through.
+const SWEEP_PERIOD: time::Duration = time::Duration::from_millis(500);
+/// The connections that a searcher of an unknown service is taken to accept.
+const CONNECTIONS_DEFAULT: u32 = 32;
+
+/// What all queries share.
+pub struct Forwarder {
+    view: sync::Arc<view::View>,
+    dialect: dialect::Dialect,
+    /// Failure domains and their regions, sorted.
+    regions: Vec<(CompactString, CompactString)>,
+    desk: sync::Mutex<Shared>,
+}
+
+struct Shared {
+    board: board::Board,
+    budgets: budget::Budgets,
+    latencies: latency::Latencies,
+}
+
+/// How a query went, for the log and the metrics.
+pub struct Report {
+    /// Its end.
+    pub verdict: query::Verdict,
+    /// How many parts were in.
+    pub answered_count: usize,
+    /// How many second sends there were.
+    pub extra_count: usize,
+    /// The sends that did not bring an answer, for the log.
+    pub troubles: String,
+}
+
+impl Forwarder {
+    /// Forwards to the searchers in `view`.
+    pub fn new(
+        view: sync::Arc<view::View>,
+        dialect: dialect::Dialect,
+        mut regions: Vec<(CompactString, CompactString)>,
+        rule: budget::Rule,
+    ) -> Self {
+        regions.sort();
+        let shared = Shared {
+            board: board::Board::default(),
+            budgets: budget::Budgets::new(rule),
+            latencies: latency::Latencies::default(),
+        };
+        Self { view, dialect, regions, desk: sync::Mutex::new(shared) }
+    }
+
+    /// What is spoken on the wire.
+    pub fn dialect(&self) -> &dialect::Dialect {
+        &self.dialect
+    }
+
+    /// Keeps the board in step with the view until the process ends.
+    pub async fn follow_view(&self) {
+        let mut searchers = self.view.searchers_epoch();
+        let mut members = self.view.members_epoch();
+        let mut version = config::ConfigVersion::default();
+        self.sync_board();
+        loop {
+            tokio::select! {
+                _ = searchers.changed() => self.sync_board(),
+                _ = members.changed() => self.sync_members(),
+                _ = tokio::time::sleep(SWEEP_PERIOD) => {
+                    locks::lock(&self.desk).board.sweep();
+                    if self.view.config_version() != version {
+                        version = self.view.config_version();
+                        self.sync_board();
+                    }
+                }
+            }
+        }
+    }
+
+    fn sync_board(&self) {
+        let me = self.view.with_members(|members| members.me().clone());
+        let table = self.view.table();
+        let distance = |domain: &str| {
+            if domain == me.domain {
+                return link::Distance::SameDomain;
+            }
+            let found = self.regions.binary_search_by(|(known, _)| known.as_str().cmp(domain));
+            match found {
+                Ok(at) if self.regions[at].1 == me.region => link::Distance::SameRegion,
+                _ => link::Distance::OtherRegion,
+            }
+        };
+        let connections_max = |service: &ids::ServiceName| {
+            let service = table.as_ref().and_then(|table| table.config.service(service));
+            service.map_or(CONNECTIONS_DEFAULT, |service| service.connections_max)
+        };
+        let now_us = clock::now_us();
+        self.view.with_registry(|registry| {
+            let mut desk = locks::lock(&self.desk);
+            desk.board.sync(now_us, registry.records(), distance, connections_max);
+        });
+        self.sync_members();
+    }
+
+    fn sync_members(&self) {
+        let (all, near) = self.view.with_members(|members| {
+            address::taker_counts(&members.live(), &members.me().region)
+        });
+        let mut desk = locks::lock(&self.desk);
+        desk.board.share_among(all as u32, near as u32);
+        desk.budgets.share_among(all as u32);
+    }
+
+    /// Runs a query to its end. Dropping the future leaves its sends to end by themselves soon.
+    pub async fn run(
+        self: &sync::Arc<Self>,
+        ask: query::Ask,
+        outgoing: sync::Arc<attempt::Outgoing>,
+    ) -> Report {
+        let mut query = query::Query::new(ask);
+        let (ends, mut ended) = mpsc::unbounded_channel();
+        let first = self.decide(|now_us, desk| query.start(now_us, desk));
+        self.make(first, &query, &outgoing, &ends);
+        loop {
+            if let Some(verdict) = query.verdict(clock::now_us()) {
+                return report(&query, verdict);
+            }
+            let left_us = query.wake_at_us().saturating_sub(clock::now_us());
+            let wake = tokio::time::sleep(time::Duration::from_micros(left_us.max(500)));
+            let sends = tokio::select! {
+                Some((number, outcome)) = ended.recv() => {
+                    self.decide(|now_us, desk| query.ended(now_us, desk, number, outcome))
+                }
+                () = wake => self.decide(|now_us, desk| query.tick(now_us, desk)),
+            };
+            self.make(sends, &query, &outgoing, &ends);
+        }
+    }
+
+    fn decide<T>(&self, decide: impl FnOnce(u64, &mut query::Desk<'_>) -> T) -> T {
+        let mut shared = locks::lock(&self.desk);
+        let Shared { board, budgets, latencies } = &mut *shared;
+        decide(clock::now_us(), &mut query::Desk { board, budgets, latencies })
+    }
+
+    fn make(
+        self: &sync::Arc<Self>,
+        sends: Vec<query::Send>,
+        query: &query::Query,
+        outgoing: &sync::Arc<attempt::Outgoing>,
+        ends: &mpsc::UnboundedSender<(usize, query::Outcome)>,
+    ) {
+        for send in sends {
+            let task = SendTask {
+                forwarder: self.clone(),
+                route: query.ask().route.clone(),
+                is_idempotent: query.ask().is_idempotent,
+                outgoing: outgoing.clone(),
+                send,
+            };
+            tokio::spawn(task.run(ends.clone()));
+        }
+    }
+}
+
+/// One send, in a task of its own: it outlives its query for a while.
+struct SendTask {
+    forwarder: sync::Arc<Forwarder>,
+    route: CompactString,
+    is_idempotent: bool,
+    outgoing: sync::Arc<attempt::Outgoing>,
+    send: query::Send,
+}
+
+impl SendTask {
+    async fn run(self, ends: mpsc::UnboundedSender<(usize, query::Outcome)>) {
+        let started_us = clock::now_us();
+        let link = &self.send.choice.link;
+        let headers = &self.forwarder.dialect.headers;
+        let abandoned = async {
+            ends.closed().await;
+            if !self.is_idempotent {
+                return std::future::pending().await;
+            }
+            tokio::time::sleep(LINGER).await;
+        };
+        let ended = tokio::select! {
+            ended = attempt::send(link, &self.outgoing, headers) => Some(ended),
+            () = abandoned => None,
+        };
+        let now_us = clock::now_us();
+        let waited_us = now_us.saturating_sub(started_us);
+        let report = match &ended {
+            Some(ended) => ended.report,
+            None if waited_us > self.send.choice.expected_us * 3 => {
+                board::Report::Silent { waited_us }
+            }
+            None => board::Report::Cancelled,
+        };
+        self.tell_board(now_us, report);
+        let Some(ended) = ended else {
+            return;
+        };
+        if !matches!(ended.outcome, query::Outcome::Answered(_)) {
+            event!(
+                debug,
+                Event::SendFailed,
+                request = %self.outgoing.id,
+                searcher = %link.id,
+                report = %report,
+                detail = %ended.detail
+            );
+        }
+        // The query may have ended without this answer; the board has heard of it.
+        let _ = ends.send((self.send.number, ended.outcome));
+    }
+
+    fn tell_board(&self, now_us: u64, report: board::Report) {
+        let link = &self.send.choice.link;
+        let mut shared = locks::lock(&self.forwarder.desk);
+        let typical_us = self.send.typical_us;
+        shared.board.done(now_us, link, &self.send.choice.ticket, typical_us, report);
+        if let board::Report::Answered { latency_us } = report {
+            let work_us = latency_us.saturating_sub(link.distance.round_trip_us());
+            if link.distance != link::Distance::OtherRegion {
+                shared.latencies.record(&self.route, work_us);
+            }
+        }
+    }
+}
+
+fn report(query: &query::Query, verdict: query::Verdict) -> Report {
+    let mut troubles = String::new();
+    let mut extra_count = 0;
+    for send in query.sends() {
+        extra_count += usize::from(send.reason != query::Reason::First);
+        let (outcome, end_us) = send.ended.unwrap_or(("open", clock::now_us()));
+        if outcome == "answered" {
+            continue;
+        }
+        let took_ms = end_us.saturating_sub(send.sent_us) / 1_000;
+        if !troubles.is_empty() {
+            troubles.push(' ');
+        }
+        troubles.push_str(&format!(
+            "{}:{}:{}:{outcome}:{took_ms}ms",
+            query.ask().services[send.part],
+            send.link.id,
+            send.reason
+        ));
+    }
+    let answered_count = match &verdict {
+        query::Verdict::Gathered(parts) => parts.iter().flatten().count(),
+        query::Verdict::Single(_) => 1,
+        _ => query.answered_count(),
+    };
+    Report { verdict, answered_count, extra_count, troubles }
+}
--- a/src/log.rs
+++ b/src/log.rs
@@ -3,6 +3,7 @@
 use std::env;
 use std::io;
 use std::io::IsTerminal as _;
+use tracing_appender::non_blocking;
 use tracing_subscriber::filter;
 use tracing_subscriber::fmt;
 use tracing_subscriber::fmt::format;
@@ -63,6 +64,33 @@
     result.map_err(|_| InitError::AlreadySetUp)
 }
 
+/// How many lines wait to be written at most; further ones are dropped and counted.
+const STDOUT_LINES_MAX: usize = 4_096;
+
+/// Logs to standard output from now on, a JSON object on each line. A thread of its own writes the lines,
+/// so that a reader that does not read never blocks; lines that find no room are dropped. What is still to
+/// be written is flushed when the guard is dropped.
+///
+/// # Errors
+///
+/// When the filter is malformed, or logs were set up before.
+pub fn to_stdout(filter: &str) -> Result<non_blocking::WorkerGuard, InitError> {
+    let filter = env::var(FILTER_VARIABLE).unwrap_or_else(|_| filter.to_owned());
+    let (writer, guard) = non_blocking::NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(STDOUT_LINES_MAX)
+        .finish(io::stdout());
+    let builder = fmt::Subscriber::builder()
+        .with_env_filter(parse_filter(&filter)?)
+        .with_writer(writer)
+        .json()
+        .flatten_event(true)
+        .with_current_span(false)
+        .with_span_list(false);
+    builder.try_init().map_err(|_| InitError::AlreadySetUp)?;
+    Ok(guard)
+}
+
 /// Parses a filter.
 ///
 /// # Errors
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,176 @@
+//! An instance on a platform whose store, settings and wire names an adapter translates.
+
+use crate::clock;
+use crate::discovery::members;
+use crate::discovery::publisher;
+use crate::discovery::reader;
+use crate::discovery::source;
+use crate::discovery::subscriber;
+use crate::discovery::view;
+use crate::event;
+use crate::events::Event;
+use crate::forward::budget;
+use crate::forward::dialect;
+use crate::forward::door;
+use crate::forward::run;
+use compact_str::CompactString;
+use error_stack::ResultExt as _;
+use std::net;
+use std::sync;
+use std::time;
+use tokio::net::TcpListener;
+use tokio::signal::unix;
+
+/// What an instance is told at its start.
+pub struct Settings {
+    /// What it says of itself to the others.
+    pub me: members::Member,
+    /// Where it listens.
+    pub listen: Listen,
+    /// Control addresses of some instances, which may be out of date.
+    pub seeds: Vec<net::SocketAddr>,
+    /// Failure domains and their regions.
+    pub regions: Vec<(CompactString, CompactString)>,
+    /// The budget of second sends.
+    pub budget: budget::Rule,
+    /// The time from a request to stop to the process being killed.
+    pub grace: time::Duration,
+}
+
+/// Where an instance listens; `None` for what it does not serve.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Listen {
+    /// For clients' requests.
+    pub front: Option<net::SocketAddr>,
+    /// For the readiness check.
+    pub ready: Option<net::SocketAddr>,
+    /// For other instances.
+    pub control: Option<net::SocketAddr>,
+    /// For clients that ask where to connect.
+    pub directory: Option<net::SocketAddr>,
+}
+
+/// Why an instance could not run.
+#[derive(Debug, thiserror::Error)]
+pub enum NodeError {
+    /// An address can't be listened on.
+    #[error("can't listen on {0}")]
+    Listen(net::SocketAddr),
+    /// Signals can't be waited for.
+    #[error("can't wait for signals")]
+    Signals,
+}
+
+/// How long an instance that stops serves on before it closes idle connections: clients may use an address
+/// answer for three times its time to live.
+const LEAVE: time::Duration = time::Duration::from_millis(3_200);
+/// How much sooner than it would be killed an instance ends by itself.
+const GRACE_MARGIN: time::Duration = time::Duration::from_millis(400);
+/// How often an instance that stops looks whether it is idle.
+const IDLE_PERIOD: time::Duration = time::Duration::from_millis(50);
+/// How often an instance looks whether it is ready.
+const READY_PERIOD: time::Duration = time::Duration::from_millis(50);
+
+/// Runs an instance until it is told to stop.
+///
+/// # Errors
+///
+/// When it can't listen or wait for signals.
+pub async fn run(
+    settings: Settings,
+    dialect: dialect::Dialect,
+    store: impl source::Source,
+) -> Result<(), error_stack::Report<NodeError>> {
+    let mut terminate =
+        unix::signal(unix::SignalKind::terminate()).change_context(NodeError::Signals)?;
+    let mut hangup = unix::signal(unix::SignalKind::hangup()).change_context(NodeError::Signals)?;
+    let name = settings.me.name.clone();
+    event!(
+        info,
+        Event::InstanceStarted,
+        instance = %name,
+        boot = settings.me.boot_ms,
+        region = %settings.me.region,
+        domain = %settings.me.domain,
+        seeds = settings.seeds.len()
+    );
+    let view = sync::Arc::new(view::View::new(settings.me));
+    let forwarder =
+        run::Forwarder::new(view.clone(), dialect, settings.regions, settings.budget);
+    let forwarder = sync::Arc::new(forwarder);
+    let door = sync::Arc::new(door::Door::new(view.clone(), forwarder.clone()));
+
+    let listen = settings.listen;
+    if let Some(address) = listen.control {
+        tokio::spawn(publisher::run(bind(address).await?, view.clone()));
+    }
+    if let Some(address) = listen.directory {
+        tokio::spawn(door.clone().serve_directory(bind(address).await?));
+    }
+    if let Some(address) = listen.ready {
+        tokio::spawn(door.clone().serve_readiness(bind(address).await?));
+    }
+    if let Some(address) = listen.front {
+        tokio::spawn(door.clone().serve_clients(bind(address).await?));
+    }
+    let reader = reader::Reader::new(view.clone(), store, &settings.seeds);
+    tokio::spawn(reader.run());
+    tokio::spawn(subscriber::run(view.clone(), settings.seeds));
+    tokio::spawn(async move { forwarder.follow_view().await });
+    let readiness = tokio::spawn(watch_readiness(view.clone()));
+
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => event!(info, Event::SettingsUnchanged, instance = %name),
+        }
+    }
+    readiness.abort();
+    stop(&view, &door, settings.grace).await;
+    event!(info, Event::InstanceStopped, instance = %name, open_connections = door.open_count());
+    Ok(())
+}
+
+async fn bind(
+    address: net::SocketAddr,
+) -> Result<TcpListener, error_stack::Report<NodeError>> {
+    TcpListener::bind(address).await.change_context(NodeError::Listen(address))
+}
+
+/// Declares the instance ready as soon as it knows enough to serve.
+async fn watch_readiness(view: sync::Arc<view::View>) {
+    while !view.is_complete() {
+        tokio::time::sleep(READY_PERIOD).await;
+    }
+    let ages = view.ages();
+    event!(
+        info,
+        Event::Ready,
+        config = view.config_version().0,
+        config_age_ms = ages.config_us.map(|us| us / 1_000),
+        searchers_age_ms = ages.searchers_us.map(|us| us / 1_000)
+    );
+    view.change_members(|members| {
+        let reaches_store = members.me().reaches_store;
+        members.set_me(members::MemberState::Ready, reaches_store)
+    });
+}
+
+/// Stops without cutting a request: first out of the addresses that clients are told, then the idle
+/// connections closed, then gone when the last request is answered.
+async fn stop(view: &view::View, door: &door::Door, grace: time::Duration) {
+    event!(info, Event::InstanceStopping, open_connections = door.open_count());
+    let started_us = clock::now_us();
+    let elapsed = || time::Duration::from_micros(clock::now_us() - started_us);
+    view.change_members(|members| {
+        let reaches_store = members.me().reaches_store;
+        members.set_me(members::MemberState::Draining, reaches_store)
+    });
+    door.enter(door::Phase::Leaving);
+    let last = grace.saturating_sub(GRACE_MARGIN);
+    tokio::time::sleep(LEAVE.min(last / 2)).await;
+    door.enter(door::Phase::Closing);
+    while door.open_count() > 0 && elapsed() < last {
+        tokio::time::sleep(IDLE_PERIOD).await;
+    }
+}
