--- a/src/discovery/members.rs
+++ b/src/discovery/members.rs
@@ -118,15 +118,20 @@
         members
     }
 
-    /// What a source says are its members.
-    pub fn told(&mut self, source: net::SocketAddr, members: Vec<Member>) {
+    /// What a source says are its members. Returns whether that is news.
+    pub fn told(&mut self, source: net::SocketAddr, members: Vec<Member>) -> bool {
         self.silent.retain(|(address, _)| *address != source);
         match self.told.iter_mut().find(|told| told.source == source) {
             Some(told) => {
+                let changed = told.members != members || told.expires_us.is_some();
                 told.members = members;
                 told.expires_us = None;
+                changed
+            }
+            None => {
+                self.told.push(Told { source, members, expires_us: None });
+                true
             }
-            None => self.told.push(Told { source, members, expires_us: None }),
         }
     }
 
--- a/src/discovery/subscriber.rs
+++ b/src/discovery/subscriber.rs
@@ -202,10 +202,7 @@
             feed::Update::Searchers(changes) => self.view.apply_searchers(changes, 0),
             feed::Update::Members(members) => {
                 let address = self.address;
-                self.view.change_members(|known| {
-                    known.told(address, members);
-                    true
-                });
+                self.view.change_members(|known| known.told(address, members));
             }
             feed::Update::Config(config) => {
                 self.view.offer_config(*config, 0);
--- a/src/discovery/view.rs
+++ b/src/discovery/view.rs
@@ -28,6 +28,8 @@
 struct Inner {
     registry: registry::Registry,
     members: members::Members,
+    /// What subscribers were told of the members last.
+    own_word: Vec<members::Member>,
     previous_config: Option<sync::Arc<config::Config>>,
     searchers_verified_us: Option<u64>,
     config_verified_us: Option<u64>,
@@ -50,6 +52,7 @@
             inner: sync::Mutex::new(Inner {
                 registry: registry::Registry::default(),
                 members: members::Members::new(me),
+                own_word: Vec::new(),
                 previous_config: None,
                 searchers_verified_us: None,
                 config_verified_us: None,
@@ -188,9 +191,15 @@
             if !change(&mut inner.members) {
                 return;
             }
-            inner.members.own_word()
+            let own_word = inner.members.own_word();
+            let is_news = own_word != inner.own_word;
+            inner.own_word.clone_from(&own_word);
+            is_news.then_some(own_word)
         };
-        self.publish(feed::Update::Members(own_word));
+        // What others have told is not passed on: each instance is connected to the readers itself.
+        if let Some(own_word) = own_word {
+            self.publish(feed::Update::Members(own_word));
+        }
         self.members_epoch.send_modify(|epoch| *epoch += 1);
     }
 
