Only some instances of each region take clients; member lists go to the own region only

Cause: at 58 instances a searcher's 61 connections leave one for each instance, so queries were sent to far searchers whenever two met; and lists of members between all instances were a third of the bytes between regions. Change: the directory names as many instances as can be connected well; the others stand by.

--- a/src/discovery/publisher.rs
+++ b/src/discovery/publisher.rs
@@ -19,6 +19,8 @@
 
 /// The pace of [`feed::Update::Pulse`].
 pub const PULSE: time::Duration = time::Duration::from_millis(500);
+/// How long changes of the members are gathered before they are told: many instances may start at once.
+const MEMBERS_PAUSE: time::Duration = time::Duration::from_millis(100);
 /// The longest time that a subscriber may be silent; it says hello at [`feed`]'s pace.
 const SUBSCRIBER_SILENCE: time::Duration = time::Duration::from_millis(3_500);
 /// The longest time that one write to a subscriber may take.
@@ -48,7 +50,7 @@
     let (read, write) = stream.into_split();
     let (requests, received) = mpsc::channel(REQUESTS_MAX);
     let reading = tokio::spawn(read_requests(read, requests));
-    let mut session = Session { view, write, codec: feed::source_codec(), subscriber: None };
+    let mut session = Session { view, write, codec: feed::source_codec(), subscriber: None, members_changed: false };
     if let Err(error) = session.run(received).await {
         tracing::debug!(%error, %peer, "subscriber's connection ended");
     }
@@ -83,6 +85,8 @@
     write: tcp::OwnedWriteHalf,
     codec: frame::Codec,
     subscriber: Option<members::Member>,
+    /// Whether the subscriber has yet to be told of members.
+    members_changed: bool,
 }
 
 impl Session {
@@ -106,6 +110,9 @@
                     Err(broadcast::error::RecvError::Closed) => return Ok(()),
                 },
                 _ = pulse.tick(), if self.subscriber.is_some() => self.send_pulse().await?,
+                () = tokio::time::sleep(MEMBERS_PAUSE), if self.members_changed => {
+                    self.send_members().await?;
+                }
             }
         }
     }
@@ -130,12 +137,28 @@
         self.send_all().await
     }
 
+    /// Whether the subscriber is of this instance's region.
+    fn is_near(&self) -> bool {
+        let region = self.view.with_members(|members| members.me().region.clone());
+        self.subscriber.as_ref().is_some_and(|member| member.region == region)
+    }
+
+    /// Sends the members if they have changed: to subscribers of the own region, since others have a
+    /// reader of their own region that knows the same.
+    async fn send_members(&mut self) -> Result<(), frame::FrameError> {
+        if !std::mem::take(&mut self.members_changed) || !self.is_near() {
+            return Ok(());
+        }
+        let members = self.view.with_members(|members| members.own_word());
+        self.send(&feed::Update::Members(members)).await
+    }
+
     /// Sends all but the configuration.
     async fn send_all(&mut self) -> Result<(), frame::FrameError> {
         let changes = self.view.with_registry(|registry| registry.changes());
         self.send(&feed::Update::Searchers(changes)).await?;
-        let members = self.view.with_members(|members| members.own_word());
-        self.send(&feed::Update::Members(members)).await?;
+        self.members_changed = true;
+        self.send_members().await?;
         self.send_pulse().await
     }
 
@@ -149,13 +172,16 @@
     /// Passes an update on. Configurations go to subscribers of the own region only: bytes between
     /// regions are dear, and others ask if their own region's reader has not told them.
     async fn forward(&mut self, update: &feed::Update) -> Result<(), frame::FrameError> {
-        if matches!(update, feed::Update::Config(_) | feed::Update::ConfigDelta(_)) {
-            let region = self.view.with_members(|members| members.me().region.clone());
-            if self.subscriber.as_ref().is_some_and(|member| member.region != region) {
-                return self.send_pulse().await;
+        match update {
+            feed::Update::Members(_) => {
+                self.members_changed = true;
+                Ok(())
+            }
+            feed::Update::Config(_) | feed::Update::ConfigDelta(_) if !self.is_near() => {
+                self.send_pulse().await
             }
+            _ => self.send(update).await,
         }
-        self.send(update).await
     }
 
     async fn send_pulse(&mut self) -> Result<(), frame::FrameError> {
--- a/src/forward/address.rs
+++ b/src/forward/address.rs
@@ -1,48 +1,106 @@
-//! Which instances' addresses clients are told.
+//! Which instances take clients, and which of their addresses a client is told.
+//!
+//! A searcher accepts a limited number of connections from all instances together. Where there are more
+//! instances than that allows to be connected well, only some in each region take clients; the others
+//! stand by and take their place when one is lost.
 
+use crate::discovery::config;
 use crate::discovery::members;
 use std::net;
+use xxhash_rust::xxh3;
 
 /// How many addresses an answer has at most.
 const ADDRESSES_MAX: usize = 64;
 /// How many instances of the client's own region an answer needs; with fewer, others are added, so that a
 /// client has somewhere to turn when one is lost.
 const NEAR_MIN: usize = 2;
+/// How many connections an instance that takes clients needs to a searcher on average: several to those in
+/// its own region, one or two to the others.
+const CONNECTIONS_WANTED: f64 = 2.6;
+/// The least number of instances of a region that take clients, if there are as many.
+const ACTIVE_MIN: usize = 3;
 
-/// The members that take clients, out of all that are alive: those that are ready.
-fn takers<'a>(live: &[&'a members::Member]) -> Vec<&'a members::Member> {
-    let mut takers = Vec::new();
-    for member in live {
-        if member.state == members::MemberState::Ready && member.front.is_some() {
-            takers.push(*member);
-        }
-    }
-    takers
+/// The instances that take clients.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Active {
+    /// Sorted by name.
+    members: Vec<members::Member>,
 }
 
-/// The addresses for a client of `region`.
-pub fn addresses(live: &[&members::Member], region: &str) -> Vec<net::SocketAddr> {
-    let takers = takers(live);
-    let mut addresses = Vec::new();
-    for member in &takers {
-        if member.region == region {
-            addresses.extend(member.front);
+impl Active {
+    /// Picks them from all members that are alive.
+    pub fn pick(live: &[&members::Member], config: Option<&config::Config>) -> Self {
+        let mut ready: Vec<&members::Member> = Vec::new();
+        for member in live {
+            if member.state == members::MemberState::Ready && member.front.is_some() {
+                ready.push(member);
+            }
+        }
+        let wanted = wanted(ready.len(), config);
+        // The strongest go first, in an order that all instances agree on.
+        ready.sort_by_key(|member| {
+            let hash = xxh3::xxh3_64(member.name.as_str().as_bytes());
+            (std::cmp::Reverse(member.cpu_millicores), hash)
+        });
+        let mut regions: Vec<(&str, usize)> = Vec::new();
+        for member in &ready {
+            match regions.iter_mut().find(|(region, _)| *region == member.region) {
+                Some((_, count)) => *count += 1,
+                None => regions.push((&member.region, 1)),
+            }
         }
+        let mut members = Vec::new();
+        for (region, count) in regions {
+            let share = (wanted * count).div_ceil(ready.len().max(1)).max(ACTIVE_MIN);
+            let own = ready.iter().filter(|member| member.region == region);
+            members.extend(own.take(share).map(|member| members::Member::clone(member)));
+        }
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        Self { members }
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.members.len()
     }
-    if addresses.len() < NEAR_MIN {
-        for member in &takers {
-            if member.region != region && addresses.len() < NEAR_MIN {
+
+    /// How many there are in `region`.
+    pub fn count_in(&self, region: &str) -> usize {
+        self.members.iter().filter(|member| member.region == region).count()
+    }
+
+    /// Whether an instance is among them.
+    pub fn contains(&self, member: &members::Member) -> bool {
+        self.members.binary_search_by(|known| known.name.cmp(&member.name)).is_ok()
+    }
+
+    /// The addresses for a client of `region`.
+    pub fn addresses(&self, region: &str) -> Vec<net::SocketAddr> {
+        let mut addresses = Vec::new();
+        for member in &self.members {
+            if member.region == region {
+                addresses.extend(member.front);
+            }
+        }
+        for member in &self.members {
+            if addresses.len() >= NEAR_MIN {
+                break;
+            }
+            if member.region != region {
                 addresses.extend(member.front);
             }
         }
+        addresses.truncate(ADDRESSES_MAX);
+        addresses
     }
-    addresses.truncate(ADDRESSES_MAX);
-    addresses
 }
 
-/// How many instances take clients: in all, and in `region`.
-pub fn taker_counts(live: &[&members::Member], region: &str) -> (usize, usize) {
-    let takers = takers(live);
-    let near = takers.iter().filter(|member| member.region == region).count();
-    (takers.len(), near)
+/// How many instances should take clients, out of `ready_count`.
+fn wanted(ready_count: usize, config: Option<&config::Config>) -> usize {
+    let services = config.map_or(&[][..], |config| &config.services);
+    let Some(connections_max) = services.iter().map(|service| service.connections_max).min() else {
+        return ready_count;
+    };
+    let wanted = f64::from(connections_max) / CONNECTIONS_WANTED;
+    (wanted as usize).clamp(1, ready_count.max(1))
 }
--- a/src/forward/board.rs
+++ b/src/forward/board.rs
@@ -35,8 +35,11 @@
 const COLD_SLOWNESS: f64 = 1.3;
 /// The spread of the choice among equals.
 const JITTER: f64 = 0.08;
-/// The share of a searcher's connections that all instances together plan to use.
-const CONNECTIONS_SHARE: f64 = 0.9;
+/// The share of a searcher's connections for the instances of its own region that take clients.
+const NEAR_CONNECTIONS_SHARE: f64 = 0.45;
+/// The share of a searcher's connections for the instances of other regions that take clients. The rest is
+/// for instances that stand by and for connections that are being closed.
+const FAR_CONNECTIONS_SHARE: f64 = 0.4;
 
 /// How a send ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
@@ -144,17 +147,24 @@
 pub struct Board {
     /// Sorted by service, then id.
     entries: Vec<Entry>,
-    /// How many instances share the searchers' connections.
-    sharers: u32,
-    /// How many instances of the own region send to the searchers near it.
-    neighbours: u32,
+    crowd: Crowd,
+}
+
+/// How many instances send to the searchers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Crowd {
+    /// The instances that take clients.
+    pub active: u32,
+    /// Those in the own region.
+    pub active_near: u32,
+    /// Whether this instance is one of them.
+    pub is_active: bool,
 }
 
 impl Board {
-    /// Sets how many instances send requests: in all, and in the own region.
-    pub fn share_among(&mut self, sharers: u32, neighbours: u32) {
-        self.sharers = sharers.max(1);
-        self.neighbours = neighbours.max(1);
+    /// Sets how many instances send requests.
+    pub fn share_among(&mut self, crowd: Crowd) {
+        self.crowd = crowd;
     }
 
     /// Takes over the searchers that take new work. What was observed of those that go on is kept.
@@ -296,8 +306,18 @@
 
     /// How many connections this instance may have to a searcher.
     fn connections_cap(&self, entry: &Entry) -> usize {
-        let share = f64::from(entry.connections_max) * CONNECTIONS_SHARE / f64::from(self.sharers.max(1));
-        (share as usize).max(1)
+        if !self.crowd.is_active {
+            return 1;
+        }
+        let near = self.crowd.active_near.max(1);
+        let (share, sharers) = match entry.link.distance {
+            link::Distance::OtherRegion => {
+                (FAR_CONNECTIONS_SHARE, self.crowd.active.saturating_sub(near).max(1))
+            }
+            _ => (NEAR_CONNECTIONS_SHARE, near),
+        };
+        let cap = f64::from(entry.connections_max) * share / f64::from(sharers);
+        (cap as usize).max(1)
     }
 
     fn expected_us(&self, now_us: u64, entry: &Entry, typical_us: u64) -> f64 {
@@ -307,7 +327,7 @@
         let slots = f64::from(entry.link.searcher.slots.max(1));
         let crowd = match entry.link.distance {
             link::Distance::OtherRegion => 1.0,
-            _ => f64::from(self.neighbours.max(1)),
+            _ => f64::from(self.crowd.active_near.max(1)),
         };
         let waiting = (stats.in_flight.len() as f64 * crowd - slots + 1.0).max(0.0);
         let mut expected_us = round_trip_us + work_us * (1.0 + waiting / slots);
--- a/src/forward/door.rs
+++ b/src/forward/door.rs
@@ -6,7 +6,6 @@
 use crate::discovery::view;
 use crate::event;
 use crate::events::Event;
-use crate::forward::address;
 use crate::forward::attempt;
 use crate::forward::dialect;
 use crate::forward::merge;
@@ -277,9 +276,7 @@
         let Some(call) = (dialect.parse_directory)(uri) else {
             return status(http::StatusCode::NOT_FOUND);
         };
-        let addresses = self
-            .view
-            .with_members(|members| address::addresses(&members.live(), &call.region));
+        let addresses = self.forwarder.active().addresses(&call.region);
         if addresses.is_empty() {
             return refuse(RETRY_AFTER_UNREADY_MS);
         }
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -27,6 +27,9 @@
 const SWEEP_PERIOD: time::Duration = time::Duration::from_millis(500);
 /// The connections that a searcher of an unknown service is taken to accept.
 const CONNECTIONS_DEFAULT: u32 = 32;
+/// Among how many instances the fixed part of the budget is divided for one that stands by: next to nothing
+/// is left of it, since the others share all of it.
+const STANDBY_SHARERS: u32 = 10_000;
 
 /// What all queries share.
 pub struct Forwarder {
@@ -34,6 +37,7 @@
     dialect: dialect::Dialect,
     /// Failure domains and their regions, sorted.
     regions: Vec<(CompactString, CompactString)>,
+    active: arc_swap::ArcSwap<address::Active>,
     desk: sync::Mutex<Shared>,
 }
 
@@ -69,7 +73,8 @@
             budgets: budget::Budgets::new(rule),
             latencies: latency::Latencies::default(),
         };
-        Self { view, dialect, regions, desk: sync::Mutex::new(shared) }
+        let active = arc_swap::ArcSwap::from_pointee(address::Active::default());
+        Self { view, dialect, regions, active, desk: sync::Mutex::new(shared) }
     }
 
     /// What is spoken on the wire.
@@ -124,12 +129,26 @@
     }
 
     fn sync_members(&self) {
-        let (all, near) = self.view.with_members(|members| {
-            address::taker_counts(&members.live(), &members.me().region)
+        let table = self.view.table();
+        let config = table.as_ref().map(|table| &*table.config);
+        let (active, crowd) = self.view.with_members(|members| {
+            let active = address::Active::pick(&members.live(), config);
+            let crowd = board::Crowd {
+                active: active.count() as u32,
+                active_near: active.count_in(&members.me().region) as u32,
+                is_active: active.contains(members.me()),
+            };
+            (active, crowd)
         });
+        self.active.store(sync::Arc::new(active));
         let mut desk = locks::lock(&self.desk);
-        desk.board.share_among(all as u32, near as u32);
-        desk.budgets.share_among(all as u32);
+        desk.board.share_among(crowd);
+        desk.budgets.share_among(if crowd.is_active { crowd.active } else { STANDBY_SHARERS });
+    }
+
+    /// The instances that take clients.
+    pub fn active(&self) -> sync::Arc<address::Active> {
+        self.active.load_full()
     }
 
     /// Runs a query to its end. Dropping the future leaves its sends to end by themselves soon.
