First sends stay in the region unless that costs an eighth of the target; quicker restarts; metrics

Change: a detour is taken from an eighth of the target latency on; a restarted instance reads the store after a quarter of a second. Counters and histograms are served on the metrics port.

--- a/src/discovery/publisher.rs
+++ b/src/discovery/publisher.rs
@@ -50,7 +50,13 @@
     let (read, write) = stream.into_split();
     let (requests, received) = mpsc::channel(REQUESTS_MAX);
     let reading = tokio::spawn(read_requests(read, requests));
-    let mut session = Session { view, write, codec: feed::source_codec(), subscriber: None, members_changed: false };
+    let mut session = Session {
+        view,
+        write,
+        codec: feed::source_codec(),
+        subscriber: None,
+        members_changed: false,
+    };
     if let Err(error) = session.run(received).await {
         tracing::debug!(%error, %peer, "subscriber's connection ended");
     }
--- a/src/discovery/reader.rs
+++ b/src/discovery/reader.rs
@@ -6,6 +6,7 @@
 use crate::discovery::view;
 use crate::event;
 use crate::events::Event;
+use crate::forward::metrics;
 use crate::locks;
 use std::net;
 use std::sync;
@@ -27,12 +28,16 @@
 const STALE_AFTER_US: u64 = 1_900_000;
 /// The spread of that time over instances, so that they do not all read at once.
 const STALE_SPREAD_US: u64 = 600_000;
-/// How long an instance that has just started waits for a source, unless it is a seed itself.
-const START_PATIENCE_US: u64 = 900_000;
+/// How long an instance of a system that starts as a whole waits for a source, unless it is a seed itself.
+const START_PATIENCE_US: u64 = 1_200_000;
+/// How long an instance that has been started again waits for a source: clients are waiting too.
+const RESTART_PATIENCE_US: u64 = 250_000;
 /// How long the store may fail before the instance leaves the reading to another one.
 const FAILING_AFTER_US: u64 = 900_000;
 /// How long an instance that the store has failed is passed over as a reader.
 const UNFIT_FOR_US: u64 = 6_000_000;
+/// The shortest outage in which entries of living searchers may lapse: they last three heartbeats.
+const LAPSE_MIN_US: u64 = 1_000_000;
 /// How often an instance looks whether it is its turn.
 const TURN_PERIOD: time::Duration = time::Duration::from_millis(100);
 
@@ -40,9 +45,12 @@
 pub struct Reader<S> {
     view: sync::Arc<view::View>,
     store: S,
+    metrics: sync::Arc<metrics::Metrics>,
     is_seed: bool,
     started_us: u64,
     stale_after_us: u64,
+    /// How long it waits for a source at the start.
+    patience_us: u64,
     status: sync::Mutex<Status>,
     hold: sync::Mutex<registry::LapseHold>,
 }
@@ -56,15 +64,24 @@
 
 impl<S: source::Source> Reader<S> {
     /// A reader. Whether it is one of `seeds` decides how soon it reads at the start.
-    pub fn new(view: sync::Arc<view::View>, store: S, seeds: &[net::SocketAddr]) -> Self {
+    pub fn new(
+        view: sync::Arc<view::View>,
+        store: S,
+        seeds: &[net::SocketAddr],
+        is_first_start: bool,
+        metrics: sync::Arc<metrics::Metrics>,
+    ) -> Self {
         let me = view.with_members(|members| members.me().clone());
         let spread = xxh3::xxh3_64(me.name.as_str().as_bytes()) % STALE_SPREAD_US;
         Self {
             is_seed: seeds.is_empty() || seeds.contains(&me.control),
             view,
             store,
+            metrics,
             started_us: clock::now_us(),
             stale_after_us: STALE_AFTER_US + spread,
+            patience_us: spread
+                + if is_first_start { START_PATIENCE_US } else { RESTART_PATIENCE_US },
             status: sync::Mutex::default(),
             hold: sync::Mutex::default(),
         }
@@ -80,11 +97,10 @@
         let now_us = clock::now_us();
         let ages = self.view.ages();
         let age_us = ages.searchers_us.unwrap_or(u64::MAX).max(ages.config_us.unwrap_or(u64::MAX));
-        if self.is_seed && age_us == u64::MAX {
+        if age_us == u64::MAX && (self.is_seed || now_us - self.started_us > self.patience_us) {
             return true;
         }
-        let patience_us = if age_us == u64::MAX { START_PATIENCE_US } else { 0 };
-        if now_us - self.started_us < patience_us + self.stale_after_us % STALE_SPREAD_US {
+        if now_us - self.started_us < START_PATIENCE_US {
             return false;
         }
         if self.view.with_members(|members| members.is_reader()) {
@@ -133,7 +149,7 @@
             match result {
                 Ok(read) => {
                     pause = PAUSE_MIN;
-                    self.answered();
+                    self.answered("config");
                     let age_us = clock::now_us() - started_us;
                     let is_first = after.is_none();
                     let has_config = read.config.is_some();
@@ -173,7 +189,7 @@
             match result {
                 Ok(read) => {
                     pause = PAUSE_MIN;
-                    self.answered();
+                    self.answered("searchers");
                     after = Some(read.as_of);
                     let now_us = clock::now_us();
                     let changes = locks::lock(&self.hold).filter(now_us, read.changes);
@@ -196,7 +212,8 @@
         read.changes.sort_by(|a, b| a.id.cmp(&b.id));
         let known = self.view.with_registry(|registry| registry.changes());
         for record in known {
-            let is_there = read.changes.binary_search_by(|change| change.id.cmp(&record.id)).is_ok();
+            let is_there =
+                read.changes.binary_search_by(|change| change.id.cmp(&record.id)).is_ok();
             if is_there || record.searcher.is_none() || record.revision >= read.as_of {
                 continue;
             }
@@ -216,17 +233,21 @@
         (pause * 2).min(PAUSE_MAX)
     }
 
-    fn answered(&self) {
+    fn answered(&self, call: &'static str) {
+        self.metrics.store_called(call, "answered");
         let since_us = locks::lock(&self.status).failing_since_us.take();
         let Some(since_us) = since_us else {
             return;
         };
         let now_us = clock::now_us();
         event!(info, Event::StoreRegained, outage_ms = (now_us - since_us) / 1_000);
-        locks::lock(&self.hold).recovered(now_us);
+        if now_us - since_us >= LAPSE_MIN_US {
+            locks::lock(&self.hold).recovered(now_us);
+        }
     }
 
     fn failed(&self, error: &source::SourceError, call: &'static str) {
+        self.metrics.store_called(call, "failed");
         let now_us = clock::now_us();
         let mut status = locks::lock(&self.status);
         if status.failing_since_us.is_none() {
--- a/src/discovery/subscriber.rs
+++ b/src/discovery/subscriber.rs
@@ -17,10 +17,10 @@
 const SOURCE_SILENCE: time::Duration = time::Duration::from_millis(1_200);
 /// How often a subscriber says hello though nothing has changed, so that its source knows that it lives.
 const HELLO_PERIOD: time::Duration = time::Duration::from_millis(1_000);
-/// The longest time for a connection to open: a round trip between regions and some.
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+/// The longest time for a connection to open: a few round trips between regions.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(200);
 /// The pause before a lost source is tried again.
-const RETRY_PAUSE: time::Duration = time::Duration::from_millis(250);
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(100);
 /// How often the set of sources is looked at without news.
 const REVIEW_PERIOD: time::Duration = time::Duration::from_millis(500);
 /// How long an instance whose source has a newer configuration waits for it before it asks: the own
--- a/src/discovery/view.rs
+++ b/src/discovery/view.rs
@@ -171,7 +171,10 @@
         let now_us = clock::now_us();
         let inner = locks::lock(&self.inner);
         let age = |at_us: Option<u64>| at_us.map(|at_us| now_us.saturating_sub(at_us));
-        Ages { searchers_us: age(inner.searchers_verified_us), config_us: age(inner.config_verified_us) }
+        Ages {
+            searchers_us: age(inner.searchers_verified_us),
+            config_us: age(inner.config_verified_us),
+        }
     }
 
     /// Looks at the searchers.
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -12,5 +12,6 @@
 pub mod latency;
 pub mod link;
 pub mod merge;
+pub mod metrics;
 pub mod query;
 pub mod run;
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -56,7 +56,11 @@
 }
 
 impl Ended {
-    fn new(outcome: query::Outcome, report: board::Report, detail: impl Into<CompactString>) -> Self {
+    fn new(
+        outcome: query::Outcome,
+        report: board::Report,
+        detail: impl Into<CompactString>,
+    ) -> Self {
         Self { outcome, report, detail: detail.into() }
     }
 
@@ -146,7 +150,8 @@
         return Ok(Connection { sender: idle.sender, is_reused: true });
     }
     let guard = link.opened();
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(link.searcher.address));
+    let connecting =
+        tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(link.searcher.address));
     let stream = match connecting.await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return Err(Ended::not_sent(error.to_string())),
--- a/src/forward/board.rs
+++ b/src/forward/board.rs
@@ -42,7 +42,7 @@
 const FAR_CONNECTIONS_SHARE: f64 = 0.4;
 
 /// How a send ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum Report {
     /// A good answer came after this time.
@@ -142,6 +142,15 @@
     pub expected_us: u64,
 }
 
+/// What a request asks of a searcher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Work {
+    /// The usual work time of its route.
+    pub typical_us: u64,
+    /// How much latency it may lose to stay in its region: bytes between regions are dear.
+    pub detour_us: u64,
+}
+
 /// All searchers that take new work, with what is observed of them.
 #[derive(Default)]
 pub struct Board {
@@ -195,11 +204,7 @@
                 None => {
                     let distance = distance(&searcher.domain);
                     let link = link::Link::new(record.id.clone(), searcher.clone(), distance);
-                    Entry {
-                        link: sync::Arc::new(link),
-                        connections_max,
-                        stats: Stats::new(now_us),
-                    }
+                    Entry { link: sync::Arc::new(link), connections_max, stats: Stats::new(now_us) }
                 }
             };
             self.entries.push(entry);
@@ -218,7 +223,7 @@
         now_us: u64,
         service: &ids::ServiceName,
         tried: &[compact_str::CompactString],
-        typical_us: u64,
+        work: Work,
     ) -> Option<Choice> {
         let start = self.entries.partition_point(|entry| entry.link.searcher.service < *service);
         let mut best: Option<(bool, f64, usize, u64)> = None;
@@ -233,8 +238,12 @@
                 continue;
             }
             let avoided = now_us < entry.stats.avoid_until_us;
-            let expected_us = self.expected_us(now_us, entry, typical_us);
-            let cost = expected_us * (1.0 + JITTER * rand::random::<f64>());
+            let expected_us = self.expected_us(now_us, entry, work.typical_us);
+            let detour_us = match entry.link.distance {
+                link::Distance::OtherRegion => work.detour_us as f64,
+                _ => 0.0,
+            };
+            let cost = (expected_us + detour_us) * (1.0 + JITTER * rand::random::<f64>());
             let better = match best {
                 None => true,
                 Some((best_avoided, best_cost, _, _)) => {
@@ -297,6 +306,11 @@
         }
     }
 
+    /// How many connections to searchers are open.
+    pub fn connection_count(&self) -> usize {
+        self.entries.iter().map(|entry| entry.link.open_count()).sum()
+    }
+
     /// Closes idle connections that have expired.
     pub fn sweep(&self) {
         for entry in &self.entries {
--- a/src/forward/door.rs
+++ b/src/forward/door.rs
@@ -40,6 +40,9 @@
 /// The smallest buffer that the library accepts for a request's head.
 const HEAD_BUFFER_MIN_BYTES: usize = 8 << 10;
 
+/// The path of the metrics.
+pub const METRICS_PATH: &str = "/metrics";
+
 /// How far a stop has gone.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -180,7 +183,8 @@
                 return Err(Unreadable);
             }
         };
-        let deadline_ms = text(&head.headers, &names.deadline_ms).parse().unwrap_or(route.timeout_ms);
+        let deadline_ms =
+            text(&head.headers, &names.deadline_ms).parse().unwrap_or(route.timeout_ms);
         let patience_us = deadline_ms.min(route.timeout_ms) * 1_000;
         let ask = ask(route, arrived_us, patience_us);
         let outgoing = attempt::Outgoing {
@@ -236,11 +240,15 @@
     ) {
         let latency_ms = clock::now_us().saturating_sub(arrived_us) as f64 / 1_000.0;
         let is_late = latency_ms > route.target_latency_ms as f64;
+        let outcome = outcome(&report.verdict, status, is_late);
         let parts = match &route.target {
             config::Target::Gather(gather) => gather.shards.len(),
             _ => 1,
         };
         let is_good = status.is_success() && !is_late && report.answered_count == parts;
+        let missing = if status.is_success() { parts - report.answered_count } else { 0 };
+        let latency_s = latency_ms / 1_000.0;
+        self.forwarder.metrics().answered(route.priority, outcome, latency_s, missing);
         let ages = self.view.ages();
         if is_good {
             event!(debug, Event::RequestServed, request = %id, route = %route.name, latency_ms);
@@ -252,6 +260,7 @@
             request = %id,
             route = %route.name,
             priority = route.priority,
+            outcome,
             status = status.as_u16(),
             latency_ms,
             target_ms = route.target_latency_ms,
@@ -287,6 +296,33 @@
         response
     }
 
+    /// Shows the metrics until the process ends.
+    pub async fn serve_metrics(self: sync::Arc<Self>, listener: TcpListener) {
+        let door = self.clone();
+        serve_plain(listener, "metrics", move |uri| match uri.path() {
+            METRICS_PATH => door.metrics(),
+            _ => status(http::StatusCode::NOT_FOUND),
+        })
+        .await;
+    }
+
+    fn metrics(&self) -> Response {
+        let metrics = self.forwarder.metrics();
+        let searcher_connections = self.forwarder.connection_count();
+        match metrics.render(&self.view, self.open_count(), searcher_connections) {
+            Ok(text) => {
+                let mut response = Response::new(Full::new(Bytes::from(text)));
+                let kind = http::HeaderValue::from_static(crate::metrics::CONTENT_TYPE);
+                response.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+                response
+            }
+            Err(error) => {
+                tracing::error!(%error, "metrics can't be written");
+                status(http::StatusCode::INTERNAL_SERVER_ERROR)
+            }
+        }
+    }
+
     /// Answers the readiness check until the process ends.
     pub async fn serve_readiness(self: sync::Arc<Self>, listener: TcpListener) {
         let door = self.clone();
@@ -343,6 +379,19 @@
     }
 }
 
+/// A word for how a request ended, for the log and the metrics.
+fn outcome(verdict: &query::Verdict, status: http::StatusCode, is_late: bool) -> &'static str {
+    match verdict {
+        query::Verdict::Gathered(_) | query::Verdict::Single(_) if status.is_success() => {
+            if is_late { "late" } else { "in_time" }
+        }
+        query::Verdict::Gathered(_) | query::Verdict::Single(_) => "searcher_error",
+        query::Verdict::NotRun { .. } => "refused",
+        query::Verdict::Failed => "failed",
+        query::Verdict::TimedOut => "timed_out",
+    }
+}
+
 /// What a query needs to know of its route.
 fn ask(route: &config::Route, arrived_us: u64, patience_us: u64) -> query::Ask {
     let (services, parts_min, is_gather) = match &route.target {
--- a/src/forward/link.rs
+++ b/src/forward/link.rs
@@ -96,8 +96,7 @@
     /// Closes idle connections that have expired.
     pub fn sweep(&self) {
         let now_us = clock::now_us();
-        locks::lock(&self.idle)
-            .retain(|idle| now_us < idle.expires_us && !idle.sender.is_closed());
+        locks::lock(&self.idle).retain(|idle| now_us < idle.expires_us && !idle.sender.is_closed());
     }
 
     /// Closes all idle connections: one of them turned out to be dead.
--- /dev/null
+++ b/src/forward/metrics.rs
@@ -0,0 +1,203 @@
+//! Counters and latency histograms of an instance that forwards requests.
+
+use crate::discovery::view;
+use crate::forward::link;
+use crate::forward::query;
+use prometheus_client::encoding;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter;
+use prometheus_client::metrics::family;
+use prometheus_client::metrics::gauge;
+use prometheus_client::metrics::histogram;
+use prometheus_client::registry;
+use std::fmt;
+
+/// The upper bounds of the latency histograms' buckets, in seconds: around the usual target latencies.
+const LATENCY_BOUNDS_S: [f64; 12] =
+    [0.01, 0.025, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0];
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PriorityLabels {
+    priority: u8,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    priority: u8,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SendLabels {
+    reason: String,
+    distance: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EndLabels {
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StoreLabels {
+    call: &'static str,
+    outcome: &'static str,
+}
+
+type Counters<L> = family::Family<L, counter::Counter>;
+type Latencies = family::Family<PriorityLabels, histogram::Histogram, fn() -> histogram::Histogram>;
+
+/// All metrics of an instance that forwards requests.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: registry::Registry,
+    requests: Counters<RequestLabels>,
+    latency: Latencies,
+    parts_missing: Counters<PriorityLabels>,
+    sends: Counters<SendLabels>,
+    ends: Counters<EndLabels>,
+    hedges_denied: counter::Counter,
+    store_calls: Counters<StoreLabels>,
+    config_version: gauge::Gauge,
+    config_age_ms: gauge::Gauge,
+    searchers_age_ms: gauge::Gauge,
+    searchers: gauge::Gauge,
+    members: gauge::Gauge,
+    client_connections: gauge::Gauge,
+    searcher_connections: gauge::Gauge,
+}
+
+impl Metrics {
+    /// Metrics at zero.
+    pub fn new() -> Self {
+        let latency: fn() -> histogram::Histogram =
+            || histogram::Histogram::new(LATENCY_BOUNDS_S.iter().copied());
+        let mut metrics = Self {
+            registry: registry::Registry::with_prefix("tarragondoor"),
+            requests: Counters::default(),
+            latency: Latencies::new_with_constructor(latency),
+            parts_missing: Counters::default(),
+            sends: Counters::default(),
+            ends: Counters::default(),
+            hedges_denied: counter::Counter::default(),
+            store_calls: Counters::default(),
+            config_version: gauge::Gauge::default(),
+            config_age_ms: gauge::Gauge::default(),
+            searchers_age_ms: gauge::Gauge::default(),
+            searchers: gauge::Gauge::default(),
+            members: gauge::Gauge::default(),
+            client_connections: gauge::Gauge::default(),
+            searcher_connections: gauge::Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests of clients by outcome", self.requests.clone());
+        registry.register("latency_seconds", "Time to the answer", self.latency.clone());
+        registry.register(
+            "parts_missing",
+            "Parts left out of answers to gathers",
+            self.parts_missing.clone(),
+        );
+        registry.register("sends", "Sends to searchers by reason", self.sends.clone());
+        registry.register("sends_ended", "Sends by how they ended", self.ends.clone());
+        registry.register(
+            "hedges_denied",
+            "Hedges that the budget did not allow",
+            self.hedges_denied.clone(),
+        );
+        registry.register("store_calls", "Calls to the platform's store", self.store_calls.clone());
+        registry.register(
+            "config_version",
+            "Version of the configuration in force",
+            self.config_version.clone(),
+        );
+        registry.register(
+            "config_age_ms",
+            "Time since the configuration was known to be the newest, -1 if there is none",
+            self.config_age_ms.clone(),
+        );
+        registry.register(
+            "searchers_age_ms",
+            "Time since the view of the searchers was complete, -1 if it never was",
+            self.searchers_age_ms.clone(),
+        );
+        registry.register("searchers", "Searchers known", self.searchers.clone());
+        registry.register("members", "Instances believed to be alive", self.members.clone());
+        registry.register(
+            "client_connections",
+            "Connections of clients",
+            self.client_connections.clone(),
+        );
+        registry.register(
+            "searcher_connections",
+            "Connections to searchers",
+            self.searcher_connections.clone(),
+        );
+    }
+
+    /// Counts a request's answer.
+    pub fn answered(&self, priority: u8, outcome: &'static str, latency_s: f64, missing: usize) {
+        self.requests.get_or_create(&RequestLabels { priority, outcome }).inc();
+        self.latency.get_or_create(&PriorityLabels { priority }).observe(latency_s);
+        if missing > 0 {
+            let labels = PriorityLabels { priority };
+            self.parts_missing.get_or_create(&labels).inc_by(missing as u64);
+        }
+    }
+
+    /// Counts a send.
+    pub fn sent(&self, reason: query::Reason, distance: link::Distance) {
+        let labels = SendLabels { reason: reason.to_string(), distance: distance.to_string() };
+        self.sends.get_or_create(&labels).inc();
+    }
+
+    /// Counts the end of a send.
+    pub fn ended(&self, outcome: &'static str) {
+        self.ends.get_or_create(&EndLabels { outcome }).inc();
+    }
+
+    /// Counts hedges that the budget did not allow.
+    pub fn denied(&self, count: u64) {
+        self.hedges_denied.inc_by(count);
+    }
+
+    /// Counts a call to the store.
+    pub fn store_called(&self, call: &'static str, outcome: &'static str) {
+        self.store_calls.get_or_create(&StoreLabels { call, outcome }).inc();
+    }
+
+    /// Everything as text, with the state of the view and the connections as of now.
+    ///
+    /// # Errors
+    ///
+    /// When the text can't be written.
+    pub fn render(
+        &self,
+        view: &view::View,
+        client_connections: usize,
+        searcher_connections: usize,
+    ) -> Result<String, fmt::Error> {
+        let ages = view.ages();
+        let age_ms = |age_us: Option<u64>| age_us.map_or(-1, |us| (us / 1_000) as i64);
+        self.config_version.set(view.config_version().0 as i64);
+        self.config_age_ms.set(age_ms(ages.config_us));
+        self.searchers_age_ms.set(age_ms(ages.searchers_us));
+        self.searchers.set(view.with_registry(|registry| registry.live_count()) as i64);
+        self.members.set(view.with_members(|members| members.live().len()) as i64);
+        self.client_connections.set(client_connections as i64);
+        self.searcher_connections.set(searcher_connections as i64);
+        let mut text = String::new();
+        encoding::text::encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/src/forward/query.rs
+++ b/src/forward/query.rs
@@ -28,6 +28,8 @@
 const TARGET_MARGIN_US: u64 = 10_000;
 /// How much sooner than the client's deadline a query is given up.
 const DEADLINE_MARGIN_US: u64 = 8_000;
+/// The share of the target latency that a first send may lose to stay in its region.
+const DETOUR_SHARE: u64 = 8;
 /// How many sends a part may take beyond its attempts, for those that searchers have rejected.
 const REJECTIONS_MAX: u32 = 2;
 /// When a client may come back whose request found no searcher.
@@ -176,13 +178,14 @@
     parts: Vec<Part>,
     sends: Vec<SendRecord>,
     may_have_run: bool,
+    denied_count: u64,
 }
 
 impl Query {
     /// A query that has not begun.
     pub fn new(ask: Ask) -> Self {
         let parts = vec![Part::default(); ask.services.len()];
-        Self { ask, parts, sends: Vec::new(), may_have_run: false }
+        Self { ask, parts, sends: Vec::new(), may_have_run: false, denied_count: 0 }
     }
 
     /// What is asked.
@@ -195,6 +198,11 @@
         &self.sends
     }
 
+    /// How many hedges the budget did not allow.
+    pub fn denied_count(&self) -> u64 {
+        self.denied_count
+    }
+
     /// How many parts are in.
     pub fn answered_count(&self) -> usize {
         self.parts.iter().filter(|part| part.answer.is_some()).count()
@@ -312,6 +320,7 @@
             }
             if !desk.budgets.spend(now_us, &self.ask.services[at], self.ask.priority) {
                 part.hedge_at_us = Some(now_us + HEDGE_AGAIN_US);
+                self.denied_count += 1;
                 continue;
             }
             sends.extend(self.send(now_us, desk, at, Reason::Hedge));
@@ -344,7 +353,8 @@
             self.parts.iter().filter(|part| part.answer.is_none() && part.has_failed).count();
         let open = self.parts.len() - answered - failed;
         let is_enough = answered >= self.ask.parts_min;
-        if open == 0 && is_enough || is_enough && now_us >= self.whole_until_us() {
+        let is_due = open == 0 || now_us >= self.whole_until_us();
+        if is_enough && is_due {
             return Some(self.success());
         }
         if answered + open < self.ask.parts_min {
@@ -391,8 +401,12 @@
     ) -> Option<Send> {
         let typical_us = desk.latencies.median_us(&self.ask.route);
         let part = &mut self.parts[at];
-        let choice =
-            desk.board.choose(now_us, &self.ask.services[at], &part.tried, typical_us)?;
+        let detour_us = match reason {
+            Reason::First => self.ask.target_us / DETOUR_SHARE,
+            Reason::Hedge | Reason::Retry => 0,
+        };
+        let work = board::Work { typical_us, detour_us };
+        let choice = desk.board.choose(now_us, &self.ask.services[at], &part.tried, work)?;
         part.tried.push(choice.link.id.clone());
         part.running += 1;
         part.offered += 1;
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -12,6 +12,7 @@
 use crate::forward::dialect;
 use crate::forward::latency;
 use crate::forward::link;
+use crate::forward::metrics;
 use crate::forward::query;
 use crate::ids;
 use crate::locks;
@@ -38,6 +39,7 @@
     /// Failure domains and their regions, sorted.
     regions: Vec<(CompactString, CompactString)>,
     active: arc_swap::ArcSwap<address::Active>,
+    metrics: sync::Arc<metrics::Metrics>,
     desk: sync::Mutex<Shared>,
 }
 
@@ -66,6 +68,7 @@
         dialect: dialect::Dialect,
         mut regions: Vec<(CompactString, CompactString)>,
         rule: budget::Rule,
+        metrics: sync::Arc<metrics::Metrics>,
     ) -> Self {
         regions.sort();
         let shared = Shared {
@@ -74,7 +77,17 @@
             latencies: latency::Latencies::default(),
         };
         let active = arc_swap::ArcSwap::from_pointee(address::Active::default());
-        Self { view, dialect, regions, active, desk: sync::Mutex::new(shared) }
+        Self { view, dialect, regions, active, metrics, desk: sync::Mutex::new(shared) }
+    }
+
+    /// The metrics.
+    pub fn metrics(&self) -> &metrics::Metrics {
+        &self.metrics
+    }
+
+    /// How many connections to searchers are open.
+    pub fn connection_count(&self) -> usize {
+        locks::lock(&self.desk).board.connection_count()
     }
 
     /// What is spoken on the wire.
@@ -163,6 +176,7 @@
         self.make(first, &query, &outgoing, &ends);
         loop {
             if let Some(verdict) = query.verdict(clock::now_us()) {
+                self.metrics.denied(query.denied_count());
                 return report(&query, verdict);
             }
             let left_us = query.wake_at_us().saturating_sub(clock::now_us());
@@ -191,6 +205,8 @@
         ends: &mpsc::UnboundedSender<(usize, query::Outcome)>,
     ) {
         for send in sends {
+            let record = &query.sends()[send.number];
+            self.metrics.sent(record.reason, record.link.distance);
             let task = SendTask {
                 forwarder: self.clone(),
                 route: query.ask().route.clone(),
@@ -238,6 +254,7 @@
             None => board::Report::Cancelled,
         };
         self.tell_board(now_us, report);
+        self.forwarder.metrics.ended(report.into());
         let Some(ended) = ended else {
             return;
         };
--- a/src/node.rs
+++ b/src/node.rs
@@ -12,6 +12,7 @@
 use crate::forward::budget;
 use crate::forward::dialect;
 use crate::forward::door;
+use crate::forward::metrics;
 use crate::forward::run;
 use compact_str::CompactString;
 use error_stack::ResultExt as _;
@@ -29,6 +30,8 @@
     pub listen: Listen,
     /// Control addresses of some instances, which may be out of date.
     pub seeds: Vec<net::SocketAddr>,
+    /// Whether the whole system starts for the first time.
+    pub is_first_start: bool,
     /// Failure domains and their regions.
     pub regions: Vec<(CompactString, CompactString)>,
     /// The budget of second sends.
@@ -48,6 +51,8 @@
     pub control: Option<net::SocketAddr>,
     /// For clients that ask where to connect.
     pub directory: Option<net::SocketAddr>,
+    /// For those that collect metrics.
+    pub metrics: Option<net::SocketAddr>,
 }
 
 /// Why an instance could not run.
@@ -95,8 +100,14 @@
         seeds = settings.seeds.len()
     );
     let view = sync::Arc::new(view::View::new(settings.me));
-    let forwarder =
-        run::Forwarder::new(view.clone(), dialect, settings.regions, settings.budget);
+    let metrics = sync::Arc::new(metrics::Metrics::new());
+    let forwarder = run::Forwarder::new(
+        view.clone(),
+        dialect,
+        settings.regions,
+        settings.budget,
+        metrics.clone(),
+    );
     let forwarder = sync::Arc::new(forwarder);
     let door = sync::Arc::new(door::Door::new(view.clone(), forwarder.clone()));
 
@@ -110,10 +121,14 @@
     if let Some(address) = listen.ready {
         tokio::spawn(door.clone().serve_readiness(bind(address).await?));
     }
+    if let Some(address) = listen.metrics {
+        tokio::spawn(door.clone().serve_metrics(bind(address).await?));
+    }
     if let Some(address) = listen.front {
         tokio::spawn(door.clone().serve_clients(bind(address).await?));
     }
-    let reader = reader::Reader::new(view.clone(), store, &settings.seeds);
+    let reader =
+        reader::Reader::new(view.clone(), store, &settings.seeds, settings.is_first_start, metrics);
     tokio::spawn(reader.run());
     tokio::spawn(subscriber::run(view.clone(), settings.seeds));
     tokio::spawn(async move { forwarder.follow_view().await });
@@ -131,9 +146,7 @@
     Ok(())
 }
 
-async fn bind(
-    address: net::SocketAddr,
-) -> Result<TcpListener, error_stack::Report<NodeError>> {
+async fn bind(address: net::SocketAddr) -> Result<TcpListener, error_stack::Report<NodeError>> {
     TcpListener::bind(address).await.change_context(NodeError::Listen(address))
 }
 
