--- a/src/forward/board.rs
+++ b/src/forward/board.rs
@@ -132,6 +132,13 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ticket(u64);
 
+/// A searcher that was found; good until the board changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Found {
+    at: usize,
+    expected_us: u64,
+}
+
 /// A searcher that was chosen.
 pub struct Choice {
     /// The searcher.
@@ -217,14 +224,14 @@
         self.of_service(service).any(|entry| !entry.link.is_misdirected())
     }
 
-    /// Chooses a searcher of `service` that is not among `tried`, and counts a send to it.
-    pub fn choose(
-        &mut self,
+    /// Finds the best searcher of `service` that is not among `tried`.
+    pub fn find(
+        &self,
         now_us: u64,
         service: &ids::ServiceName,
         tried: &[compact_str::CompactString],
         work: Work,
-    ) -> Option<Choice> {
+    ) -> Option<Found> {
         let start = self.entries.partition_point(|entry| entry.link.searcher.service < *service);
         let mut best: Option<(bool, f64, usize, u64)> = None;
         for (at, entry) in self.entries.iter().enumerate().skip(start) {
@@ -255,11 +262,17 @@
             }
         }
         let (_, _, at, expected_us) = best?;
-        let entry = &mut self.entries[at];
+        Some(Found { at, expected_us })
+    }
+
+    /// Counts a send to the searcher that was found just now.
+    pub fn take(&mut self, now_us: u64, found: Found) -> Choice {
+        let entry = &mut self.entries[found.at];
         let ticket = entry.stats.next_ticket;
         entry.stats.next_ticket += 1;
         entry.stats.in_flight.push((ticket, now_us));
-        Some(Choice { link: entry.link.clone(), ticket: Ticket(ticket), expected_us })
+        let link = entry.link.clone();
+        Choice { link, ticket: Ticket(ticket), expected_us: found.expected_us }
     }
 
     /// A send has ended. `typical_us` is the usual work time of its route.
--- a/src/forward/query.rs
+++ b/src/forward/query.rs
@@ -134,6 +134,22 @@
     Hedge,
     /// The one before has failed.
     Retry,
+    /// The one before found no connection, so that nothing was sent.
+    Reconnect,
+}
+
+/// Why a part gets no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum PartFailure {
+    /// There is no searcher that has not been tried and takes another connection.
+    NoSearcher,
+    /// The budget of second sends is used up.
+    NoBudget,
+    /// It was sent as often as the route allows, or must not be sent again.
+    AttemptsUsed,
+    /// A searcher has answered that the request is wrong.
+    FinalAnswer,
 }
 
 /// What is known of a send, for the log.
@@ -169,7 +185,8 @@
     answer: Option<Answer>,
     /// An answer that is no success; it is the result if no better one comes.
     failure: Option<Answer>,
-    has_failed: bool,
+    /// Why no answer can come any more.
+    failed: Option<PartFailure>,
 }
 
 /// One request under way.
@@ -203,6 +220,12 @@
         self.denied_count
     }
 
+    /// The parts that get no answer, and why.
+    pub fn failures(&self) -> impl Iterator<Item = (&ids::ServiceName, PartFailure)> {
+        let parts = self.ask.services.iter().zip(&self.parts);
+        parts.filter_map(|(service, part)| Some((service, part.failed?)))
+    }
+
     /// How many parts are in.
     pub fn answered_count(&self) -> usize {
         self.parts.iter().filter(|part| part.answer.is_some()).count()
@@ -229,15 +252,15 @@
         }
         if served < self.ask.parts_min {
             for part in &mut self.parts {
-                part.has_failed = true;
+                part.failed = Some(PartFailure::NoSearcher);
             }
             return Vec::new();
         }
         let mut sends = Vec::with_capacity(self.parts.len());
         for at in 0..self.parts.len() {
             match self.send(now_us, desk, at, Reason::First) {
-                Some(send) => sends.push(send),
-                None => self.parts[at].has_failed = true,
+                Ok(send) => sends.push(send),
+                Err(_) => self.parts[at].failed = Some(PartFailure::NoSearcher),
             }
         }
         sends
@@ -267,7 +290,9 @@
                 let is_final = answer.status.is_client_error();
                 part.failure = Some(answer);
                 if is_final {
-                    part.has_failed = part.answer.is_none() && part.running == 0;
+                    if part.answer.is_none() && part.running == 0 {
+                        part.failed = Some(PartFailure::FinalAnswer);
+                    }
                     return Vec::new();
                 }
             }
@@ -289,15 +314,18 @@
             && part.offered < self.ask.attempts
             && part.rejected <= REJECTIONS_MAX
             && now_us < self.deadline_us();
-        let service = &self.ask.services[at];
-        if may_send
-            && (is_unsent || desk.budgets.spend(now_us, service, self.ask.priority))
-            && let Some(send) = self.send(now_us, desk, at, Reason::Retry)
-        {
-            return vec![send];
+        if !may_send {
+            self.parts[at].failed = Some(PartFailure::AttemptsUsed);
+            return Vec::new();
+        }
+        let reason = if is_unsent { Reason::Reconnect } else { Reason::Retry };
+        match self.send(now_us, desk, at, reason) {
+            Ok(send) => vec![send],
+            Err(failure) => {
+                self.parts[at].failed = Some(failure);
+                Vec::new()
+            }
         }
-        self.parts[at].has_failed = true;
-        Vec::new()
     }
 
     /// Looks at the time. Returns the hedges that are due.
@@ -318,12 +346,13 @@
             if !may_send {
                 continue;
             }
-            if !desk.budgets.spend(now_us, &self.ask.services[at], self.ask.priority) {
-                part.hedge_at_us = Some(now_us + HEDGE_AGAIN_US);
-                self.denied_count += 1;
-                continue;
+            match self.send(now_us, desk, at, Reason::Hedge) {
+                Ok(send) => sends.push(send),
+                Err(failure) => {
+                    self.parts[at].hedge_at_us = Some(now_us + HEDGE_AGAIN_US);
+                    self.denied_count += u64::from(failure == PartFailure::NoBudget);
+                }
             }
-            sends.extend(self.send(now_us, desk, at, Reason::Hedge));
         }
         sends
     }
@@ -338,7 +367,7 @@
             }
         }
         for part in &self.parts {
-            if part.answer.is_some() || part.has_failed {
+            if part.answer.is_some() || part.failed.is_some() {
                 continue;
             }
             at_us = at_us.min(part.hedge_at_us.unwrap_or(u64::MAX));
@@ -350,7 +379,7 @@
     pub fn verdict(&mut self, now_us: u64) -> Option<Verdict> {
         let answered = self.answered_count();
         let failed =
-            self.parts.iter().filter(|part| part.answer.is_none() && part.has_failed).count();
+            self.parts.iter().filter(|part| part.answer.is_none() && part.failed.is_some()).count();
         let open = self.parts.len() - answered - failed;
         let is_enough = answered >= self.ask.parts_min;
         let is_due = open == 0 || now_us >= self.whole_until_us();
@@ -398,15 +427,22 @@
         desk: &mut Desk<'_>,
         at: usize,
         reason: Reason,
-    ) -> Option<Send> {
+    ) -> Result<Send, PartFailure> {
         let typical_us = desk.latencies.median_us(&self.ask.route);
         let part = &mut self.parts[at];
         let detour_us = match reason {
             Reason::First => self.ask.target_us / DETOUR_SHARE,
-            Reason::Hedge | Reason::Retry => 0,
+            Reason::Hedge | Reason::Retry | Reason::Reconnect => 0,
         };
         let work = board::Work { typical_us, detour_us };
-        let choice = desk.board.choose(now_us, &self.ask.services[at], &part.tried, work)?;
+        let service = &self.ask.services[at];
+        let found = desk.board.find(now_us, service, &part.tried, work);
+        let found = found.ok_or(PartFailure::NoSearcher)?;
+        let is_extra = matches!(reason, Reason::Hedge | Reason::Retry);
+        if is_extra && !desk.budgets.spend(now_us, service, self.ask.priority) {
+            return Err(PartFailure::NoBudget);
+        }
+        let choice = desk.board.take(now_us, found);
         part.tried.push(choice.link.id.clone());
         part.running += 1;
         part.offered += 1;
@@ -421,7 +457,7 @@
             sent_us: now_us,
             ended: None,
         });
-        Some(Send { number, choice, typical_us })
+        Ok(Send { number, choice, typical_us })
     }
 }
 
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -306,6 +306,12 @@
             send.reason
         ));
     }
+    for (service, failure) in query.failures() {
+        if !troubles.is_empty() {
+            troubles.push(' ');
+        }
+        troubles.push_str(&format!("{service}:{failure}"));
+    }
     let answered_count = match &verdict {
         query::Verdict::Gathered(parts) => parts.iter().flatten().count(),
         query::Verdict::Single(_) => 1,
