--- a/src/forward/address.rs
+++ b/src/forward/address.rs
@@ -16,7 +16,7 @@
 const NEAR_MIN: usize = 2;
 /// How many connections an instance that takes clients needs to a searcher on average: several to those in
 /// its own region, one or two to the others.
-const CONNECTIONS_WANTED: f64 = 2.6;
+const CONNECTIONS_WANTED: f64 = 5.0;
 /// The least number of instances of a region that take clients, if there are as many.
 const ACTIVE_MIN: usize = 3;
 
