Parts wait for a busy searcher; a cut-off instance keeps its small part of the budget

Cause: a query failed at once when all of a shard's searchers had as many sends as this instance may have. Change: a part waits for a quarter of the target; a smaller number of sharers takes effect after a minute, and a new sharer has its part after a window.

--- a/src/forward/board.rs
+++ b/src/forward/board.rs
@@ -265,6 +265,16 @@
         Some(Found { at, expected_us })
     }
 
+    /// Whether there are searchers of `service` that are not among `tried`, though they may be busy.
+    pub fn is_busy(
+        &self,
+        service: &ids::ServiceName,
+        tried: &[compact_str::CompactString],
+    ) -> bool {
+        let mut searchers = self.of_service(service);
+        searchers.any(|entry| !entry.link.is_misdirected() && !tried.contains(&entry.link.id))
+    }
+
     /// Counts a send to the searcher that was found just now.
     pub fn take(&mut self, now_us: u64, found: Found) -> Choice {
         let entry = &mut self.entries[found.at];
--- a/src/forward/budget.rs
+++ b/src/forward/budget.rs
@@ -16,6 +16,10 @@
 /// reserved for more urgent ones.
 const PRIORITY_SHARES: [f64; 3] = [1.0, 0.8, 0.6];
 
+/// How long a number of sharers counts that is no longer seen: those that are out of sight may be cut off
+/// and still serve.
+const SHARERS_KEEP_US: u64 = 60_000_000;
+
 /// The rule that all instances keep together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Rule {
@@ -79,20 +83,47 @@
 #[derive(Clone, Debug)]
 pub struct Budgets {
     rule: Rule,
-    sharers: u32,
+    /// Since when this instance is one of the sharers.
+    sharing_since_us: Option<u64>,
+    /// Among how many the fixed number was divided lately: when, and how many, the latest last. Only
+    /// numbers that no later one exceeds are kept.
+    sharers: Vec<(u64, u32)>,
     /// Sorted by service.
     accounts: Vec<(ids::ServiceName, Account)>,
 }
 
 impl Budgets {
-    /// Budgets that are shared with nobody yet.
+    /// Budgets of an instance that has no part of the fixed number yet.
     pub fn new(rule: Rule) -> Self {
-        Self { rule, sharers: 1, accounts: Vec::new() }
+        Self { rule, sharing_since_us: None, sharers: Vec::new(), accounts: Vec::new() }
+    }
+
+    /// Sets among how many instances the fixed number is divided, and whether this one is among them. A
+    /// smaller number than before takes effect later, and a new sharer has its part after a window: what the
+    /// one before it has used is not known, and an instance that is cut off takes itself for a sharer.
+    pub fn share_among(&mut self, now_us: u64, sharers: u32, is_sharer: bool) {
+        match is_sharer {
+            true => {
+                self.sharing_since_us.get_or_insert(now_us);
+            }
+            false => self.sharing_since_us = None,
+        }
+        self.sharers.retain(|(seen_us, known)| {
+            *known > sharers && now_us.saturating_sub(*seen_us) < SHARERS_KEEP_US
+        });
+        self.sharers.push((now_us, sharers.max(1)));
     }
 
-    /// Sets among how many instances the fixed number is divided.
-    pub fn share_among(&mut self, sharers: u32) {
-        self.sharers = sharers.max(1);
+    /// This instance's part of the fixed number.
+    fn slack(&self, now_us: u64) -> f64 {
+        let is_settled = self
+            .sharing_since_us
+            .is_some_and(|since_us| now_us.saturating_sub(since_us) >= self.rule.window_us);
+        if !is_settled {
+            return 0.0;
+        }
+        let sharers = self.sharers.iter().map(|(_, sharers)| *sharers).max();
+        sharers.map_or(0.0, |sharers| self.rule.slack / f64::from(sharers))
     }
 
     /// Counts a client's request that goes to a service.
@@ -103,7 +134,7 @@
     /// Takes one second send to a service from the budget, if there is one left for this priority.
     pub fn spend(&mut self, now_us: u64, service: &ids::ServiceName, priority: u8) -> bool {
         let rule = self.rule;
-        let slack = rule.slack / f64::from(self.sharers);
+        let slack = self.slack(now_us);
         let share = PRIORITY_SHARES[usize::from(priority).min(PRIORITY_SHARES.len() - 1)];
         let account = self.account(service);
         let requests = f64::from(account.requests.total(now_us));
--- a/src/forward/query.rs
+++ b/src/forward/query.rs
@@ -30,6 +30,10 @@
 const DEADLINE_MARGIN_US: u64 = 8_000;
 /// The share of the target latency that a first send may lose to stay in its region.
 const DETOUR_SHARE: u64 = 8;
+/// The share of the target latency for which a part waits for a searcher that is busy.
+const WAIT_SHARE: u64 = 4;
+/// How often a send that waits for a searcher is looked at.
+const WAIT_STEP_US: u64 = 4_000;
 /// How many sends a part may take beyond its attempts, for those that searchers have rejected.
 const REJECTIONS_MAX: u32 = 2;
 /// When a client may come back whose request found no searcher.
@@ -142,8 +146,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
 #[strum(serialize_all = "snake_case")]
 pub enum PartFailure {
-    /// There is no searcher that has not been tried and takes another connection.
+    /// There is no searcher that has not been tried.
     NoSearcher,
+    /// All searchers that have not been tried have as many sends as they may have.
+    Busy,
     /// The budget of second sends is used up.
     NoBudget,
     /// It was sent as often as the route allows, or must not be sent again.
@@ -185,6 +191,8 @@
     answer: Option<Answer>,
     /// An answer that is no success; it is the result if no better one comes.
     failure: Option<Answer>,
+    /// Why a send waits to be made: all searchers have as many as they may have.
+    waiting: Option<Reason>,
     /// Why no answer can come any more.
     failed: Option<PartFailure>,
 }
@@ -237,6 +245,12 @@
         self.ask.arrived_us + self.ask.patience_us - margin_us
     }
 
+    /// Until when a part waits for a searcher that is busy: a client that is told sooner that its request
+    /// has failed can still be served in time at another instance.
+    fn wait_until_us(&self) -> u64 {
+        self.ask.arrived_us + self.ask.target_us / WAIT_SHARE
+    }
+
     /// Until when a gather waits for all of its parts.
     fn whole_until_us(&self) -> u64 {
         let margin_us = TARGET_MARGIN_US.min(self.ask.target_us / 5);
@@ -258,10 +272,7 @@
         }
         let mut sends = Vec::with_capacity(self.parts.len());
         for at in 0..self.parts.len() {
-            match self.send(now_us, desk, at, Reason::First) {
-                Ok(send) => sends.push(send),
-                Err(_) => self.parts[at].failed = Some(PartFailure::NoSearcher),
-            }
+            sends.extend(self.send_or_wait(now_us, desk, at, Reason::First));
         }
         sends
     }
@@ -319,19 +330,36 @@
             return Vec::new();
         }
         let reason = if is_unsent { Reason::Reconnect } else { Reason::Retry };
+        self.send_or_wait(now_us, desk, at, reason).into_iter().collect()
+    }
+
+    /// Sends a part that has nothing under way, or lets it wait while all searchers are busy with as many
+    /// sends as they may have from this instance. Without either, the part has failed.
+    fn send_or_wait(
+        &mut self,
+        now_us: u64,
+        desk: &mut Desk<'_>,
+        at: usize,
+        reason: Reason,
+    ) -> Option<Send> {
         match self.send(now_us, desk, at, reason) {
-            Ok(send) => vec![send],
-            Err(failure) => {
-                self.parts[at].failed = Some(failure);
-                Vec::new()
+            Ok(send) => return Some(send),
+            Err(PartFailure::Busy) if now_us < self.wait_until_us() => {
+                self.parts[at].waiting = Some(reason);
             }
+            Err(failure) => self.parts[at].failed = Some(failure),
         }
+        None
     }
 
     /// Looks at the time. Returns the hedges that are due.
     pub fn tick(&mut self, now_us: u64, desk: &mut Desk<'_>) -> Vec<Send> {
         let mut sends = Vec::new();
         for at in 0..self.parts.len() {
+            if let Some(reason) = self.parts[at].waiting.take() {
+                sends.extend(self.send_or_wait(now_us, desk, at, reason));
+                continue;
+            }
             let part = &mut self.parts[at];
             let is_due = part.hedge_at_us.is_some_and(|due_us| due_us <= now_us);
             if !is_due {
@@ -358,7 +386,7 @@
     }
 
     /// When to look at the time next.
-    pub fn wake_at_us(&self) -> u64 {
+    pub fn wake_at_us(&self, now_us: u64) -> u64 {
         let mut at_us = self.deadline_us();
         if self.ask.is_gather && self.ask.parts_min < self.parts.len() {
             let whole_until_us = self.whole_until_us();
@@ -370,6 +398,9 @@
             if part.answer.is_some() || part.failed.is_some() {
                 continue;
             }
+            if part.waiting.is_some() {
+                at_us = at_us.min(now_us + WAIT_STEP_US);
+            }
             at_us = at_us.min(part.hedge_at_us.unwrap_or(u64::MAX));
         }
         at_us
@@ -389,6 +420,10 @@
         if answered + open < self.ask.parts_min {
             return Some(self.failure());
         }
+        let is_untouched = self.sends.is_empty();
+        if is_untouched && now_us >= self.whole_until_us().min(self.deadline_us()) {
+            return Some(Verdict::NotRun { retry_after_ms: RETRY_AFTER_MS });
+        }
         if now_us >= self.deadline_us() {
             return Some(Verdict::TimedOut);
         }
@@ -437,7 +472,11 @@
         let work = board::Work { typical_us, detour_us };
         let service = &self.ask.services[at];
         let found = desk.board.find(now_us, service, &part.tried, work);
-        let found = found.ok_or(PartFailure::NoSearcher)?;
+        let found = match found {
+            Some(found) => found,
+            None if desk.board.is_busy(service, &part.tried) => return Err(PartFailure::Busy),
+            None => return Err(PartFailure::NoSearcher),
+        };
         let is_extra = matches!(reason, Reason::Hedge | Reason::Retry);
         if is_extra && !desk.budgets.spend(now_us, service, self.ask.priority) {
             return Err(PartFailure::NoBudget);
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -28,9 +28,6 @@
 const SWEEP_PERIOD: time::Duration = time::Duration::from_millis(500);
 /// The connections that a searcher of an unknown service is taken to accept.
 const CONNECTIONS_DEFAULT: u32 = 32;
-/// Among how many instances the fixed part of the budget is divided for one that stands by: next to nothing
-/// is left of it, since the others share all of it.
-const STANDBY_SHARERS: u32 = 10_000;
 
 /// What all queries share.
 pub struct Forwarder {
@@ -156,7 +153,7 @@
         self.active.store(sync::Arc::new(active));
         let mut desk = locks::lock(&self.desk);
         desk.board.share_among(crowd);
-        desk.budgets.share_among(if crowd.is_active { crowd.active } else { STANDBY_SHARERS });
+        desk.budgets.share_among(clock::now_us(), crowd.active, crowd.is_active);
     }
 
     /// The instances that take clients.
@@ -179,7 +176,7 @@
                 self.metrics.denied(query.denied_count());
                 return report(&query, verdict);
             }
-            let left_us = query.wake_at_us().saturating_sub(clock::now_us());
+            let left_us = query.wake_at_us(clock::now_us()).saturating_sub(clock::now_us());
             let wake = tokio::time::sleep(time::Duration::from_micros(left_us.max(500)));
             let sends = tokio::select! {
                 Some((number, outcome)) = ended.recv() => {
