The budget looks at each window that a second send would fall into, as the rule counts it

Cause: a property test found 78 second sends where the rule allows 76: requests on both sides of a window's middle were counted together. The rule takes the window itself, the one before it or the one half a window before it. Change: exactly those windows, from a history of two; tests of budget, registry, routes, members.

--- a/src/forward/budget.rs
+++ b/src/forward/budget.rs
@@ -6,8 +6,11 @@
 
 use crate::ids;
 
-/// How many slices the window is counted in.
+/// How many slices a window is counted in.
 const SLICES: usize = 40;
+/// How many slices are remembered: the window that ends now, the one before it, and one more for the slice
+/// that has just begun.
+const HISTORY_SLICES: usize = 2 * SLICES + 1;
 
 /// What stays unused of the budget: the slices are coarse, and instances come and go.
 const USED_SHARE: f64 = 0.85;
@@ -31,52 +34,73 @@
     pub window_us: u64,
 }
 
-/// Counts in slices of a window that ends now.
+/// Counts of the last two windows, in slices.
 #[derive(Clone, Debug)]
-struct Window {
+struct History {
     slice_us: u64,
-    slices: [u32; SLICES],
+    slices: [u32; HISTORY_SLICES],
     /// The slice that is counted in, numbered from the clock's start.
     current: u64,
-    total: u32,
 }
 
-impl Window {
+impl History {
     fn new(window_us: u64) -> Self {
-        let slice_us = (window_us / (SLICES as u64 - 1)).max(1);
-        Self { slice_us, slices: [0; SLICES], current: 0, total: 0 }
+        let slice_us = (window_us / SLICES as u64).max(1);
+        Self { slice_us, slices: [0; HISTORY_SLICES], current: 0 }
     }
 
     fn advance(&mut self, now_us: u64) {
         let now = now_us / self.slice_us;
-        if now <= self.current {
-            return;
-        }
-        let steps = (now - self.current).min(SLICES as u64);
+        let steps = now.saturating_sub(self.current).min(HISTORY_SLICES as u64);
         for step in 0..steps {
-            let at = ((now - step) % SLICES as u64) as usize;
-            self.total -= self.slices[at];
-            self.slices[at] = 0;
+            self.slices[((now - step) % HISTORY_SLICES as u64) as usize] = 0;
         }
-        self.current = now;
+        self.current = self.current.max(now);
     }
 
     fn add(&mut self, now_us: u64) {
         self.advance(now_us);
-        self.slices[(self.current % SLICES as u64) as usize] += 1;
-        self.total += 1;
+        self.slices[(self.current % HISTORY_SLICES as u64) as usize] += 1;
     }
 
-    fn total(&mut self, now_us: u64) -> u32 {
+    /// Sums over the slices, the oldest first: the difference of two of them is the count between.
+    fn sums(&mut self, now_us: u64) -> [u32; HISTORY_SLICES + 1] {
         self.advance(now_us);
-        self.total
+        let mut sums = [0; HISTORY_SLICES + 1];
+        for at in 0..HISTORY_SLICES {
+            let slice = (self.current as usize + 1 + at) % HISTORY_SLICES;
+            sums[at + 1] = sums[at] + self.slices[slice];
+        }
+        sums
     }
 }
 
 #[derive(Clone, Debug)]
 struct Account {
-    requests: Window,
-    extras: Window,
+    requests: History,
+    extras: History,
+}
+
+impl Account {
+    /// The least that is left of the budget in any window that one more second send now would fall into.
+    /// Of the requests, the rule counts those of that window, of the one before it, or of the one half a
+    /// window before it, whichever has most. A window may begin anywhere in its first slice.
+    fn left(&mut self, now_us: u64, ratio: f64, slack: f64) -> f64 {
+        let requests = self.requests.sums(now_us);
+        let extras = self.extras.sums(now_us);
+        let between = |from: usize, to: usize| requests[to.max(from)] - requests[from];
+        let mut left = f64::MAX;
+        for start in SLICES..HISTORY_SLICES {
+            let own = between(start + 1, HISTORY_SLICES);
+            let before = between(start + 1 - SLICES, start);
+            let half_end = (start + SLICES / 2).min(HISTORY_SLICES);
+            let half_before = between(start + 1 - SLICES / 2, half_end);
+            let most = own.max(before).max(half_before);
+            let used = extras[HISTORY_SLICES] - extras[start];
+            left = left.min(ratio * f64::from(most) + slack - f64::from(used));
+        }
+        left
+    }
 }
 
 /// An instance's budgets, one for each service.
@@ -134,12 +158,11 @@
     /// Takes one second send to a service from the budget, if there is one left for this priority.
     pub fn spend(&mut self, now_us: u64, service: &ids::ServiceName, priority: u8) -> bool {
         let rule = self.rule;
-        let slack = self.slack(now_us);
         let share = PRIORITY_SHARES[usize::from(priority).min(PRIORITY_SHARES.len() - 1)];
+        let share = share * USED_SHARE;
+        let slack = self.slack(now_us) * share;
         let account = self.account(service);
-        let requests = f64::from(account.requests.total(now_us));
-        let allowed = (rule.ratio * requests + slack) * USED_SHARE * share;
-        if f64::from(account.extras.total(now_us)) + 1.0 > allowed {
+        if account.left(now_us, rule.ratio * share, slack) < 1.0 {
             return false;
         }
         account.extras.add(now_us);
@@ -150,8 +173,8 @@
         let at = match self.accounts.binary_search_by(|(known, _)| known.cmp(service)) {
             Ok(at) => at,
             Err(at) => {
-                let window = Window::new(self.rule.window_us);
-                let account = Account { requests: window.clone(), extras: window };
+                let history = History::new(self.rule.window_us);
+                let account = Account { requests: history.clone(), extras: history };
                 self.accounts.insert(at, (service.clone(), account));
                 at
             }
--- /dev/null
+++ b/tests/forward_budget.rs
@@ -0,0 +1,126 @@
+//! The budget of second sends: what all instances together may send once more.
+
+mod forward_support;
+
+use forward_support::SECOND_US;
+use forward_support::rule;
+use forward_support::service;
+use quickcheck::quickcheck;
+use tarragondoor::forward::budget;
+
+fn settled(sharers: u32) -> budget::Budgets {
+    let mut budgets = budget::Budgets::new(rule());
+    budgets.share_among(0, sharers, true);
+    budgets
+}
+
+/// How many second sends are allowed at once.
+fn allowed(budgets: &mut budget::Budgets, now_us: u64, priority: u8) -> u32 {
+    let mut count = 0;
+    while budgets.spend(now_us, &service("a"), priority) {
+        count += 1;
+    }
+    count
+}
+
+#[test]
+fn a_share_of_the_own_requests_and_a_part_of_the_fixed_number_are_allowed() {
+    let mut budgets = settled(6);
+    let now_us = 20 * SECOND_US;
+    for _ in 0..100 {
+        budgets.requested(now_us, &service("a"));
+    }
+    // (0.2 x 100 + 60 / 6) x 0.85.
+    assert_eq!(allowed(&mut budgets, now_us, 0), 25);
+    assert_eq!(allowed(&mut budgets, now_us + 9 * SECOND_US, 0), 0, "the window is not over");
+    assert_eq!(allowed(&mut budgets, now_us + 11 * SECOND_US, 0), 8, "the fixed part is back");
+}
+
+#[test]
+fn less_urgent_requests_leave_some_for_more_urgent_ones() {
+    let now_us = 20 * SECOND_US;
+    let mut budgets = settled(1);
+    let least = allowed(&mut budgets, now_us, 9);
+    let middle = least + allowed(&mut budgets, now_us, 1);
+    let most = middle + allowed(&mut budgets, now_us, 0);
+    assert!(least < middle && middle < most, "{least} {middle} {most}");
+}
+
+#[test]
+fn services_have_budgets_of_their_own() {
+    let mut budgets = settled(1);
+    allowed(&mut budgets, 20 * SECOND_US, 0);
+    assert!(budgets.spend(20 * SECOND_US, &service("b"), 0));
+}
+
+/// The pattern: a third of the machines are cut off from the others; each sees itself alone. Found by
+/// sprout-search-grown scale-2, where they took the whole fixed number each.
+#[test]
+fn an_instance_that_loses_sight_of_the_others_keeps_its_small_part() {
+    let mut budgets = settled(15);
+    let now_us = 20 * SECOND_US;
+    budgets.share_among(now_us, 1, true);
+    assert_eq!(allowed(&mut budgets, now_us, 0), 3, "60 / 15 x 0.85");
+    budgets.share_among(now_us + 61 * SECOND_US, 1, true);
+    assert!(
+        allowed(&mut budgets, now_us + 100 * SECOND_US, 0) > 40,
+        "the others are gone for good"
+    );
+}
+
+#[test]
+fn an_instance_that_begins_to_share_has_no_part_of_the_fixed_number_for_a_window() {
+    let mut budgets = budget::Budgets::new(rule());
+    budgets.share_among(0, 1, true);
+    assert_eq!(allowed(&mut budgets, 9 * SECOND_US, 0), 0);
+    assert!(allowed(&mut budgets, 10 * SECOND_US, 0) > 0);
+    budgets.share_among(30 * SECOND_US, 1, false);
+    assert_eq!(allowed(&mut budgets, 60 * SECOND_US, 0), 0, "it stands by");
+}
+
+/// All instances together, whatever their requests: in any window, no more second sends than the rule
+/// allows by the largest of the windows that it names.
+#[test]
+fn all_instances_together_keep_the_rule() {
+    fn holds(steps: Vec<(u8, u8, bool)>, sharers: u8) -> bool {
+        let sharers = u32::from(sharers % 8) + 1;
+        let mut instances: Vec<budget::Budgets> = (0..sharers).map(|_| settled(sharers)).collect();
+        let mut now_us = 20 * SECOND_US;
+        let mut requests = Vec::new();
+        let mut extras = Vec::new();
+        for (instance, pause, is_request) in steps {
+            now_us += u64::from(pause) * 4_000;
+            let budgets = &mut instances[usize::from(instance) % sharers as usize];
+            for _ in 0..20 {
+                if is_request {
+                    budgets.requested(now_us, &service("a"));
+                    requests.push(now_us);
+                } else if budgets.spend(now_us, &service("a"), 0) {
+                    extras.push(now_us);
+                }
+            }
+        }
+        keeps_rule(&requests, &extras)
+    }
+
+    fn keeps_rule(requests: &[u64], extras: &[u64]) -> bool {
+        let window_us = rule().window_us;
+        for start_us in extras {
+            let count = within(extras, *start_us, window_us);
+            let shifts = [0, window_us / 2, window_us];
+            let most =
+                shifts.map(|shift| within(requests, start_us.saturating_sub(shift), window_us));
+            let requests = most.into_iter().max().unwrap();
+            if count as f64 > rule().ratio * requests as f64 + rule().slack {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn within(times: &[u64], start_us: u64, window_us: u64) -> usize {
+        times.iter().filter(|at| (start_us..start_us + window_us).contains(at)).count()
+    }
+
+    quickcheck(holds as fn(Vec<(u8, u8, bool)>, u8) -> bool);
+}
--- /dev/null
+++ b/tests/forward_members.rs
@@ -0,0 +1,161 @@
+//! Who is alive, who reads the store, and which instances take clients.
+
+mod forward_support;
+
+use forward_support::configuration;
+use forward_support::member;
+use std::net;
+use tarragondoor::discovery::members;
+use tarragondoor::forward::address;
+
+const REGIONS: [&str; 3] = ["north", "south", "west"];
+
+/// `count` instances spread over three regions.
+fn fleet(count: u16) -> Vec<members::Member> {
+    let mut fleet = Vec::new();
+    for number in 0..count {
+        let region = REGIONS[usize::from(number) % REGIONS.len()];
+        fleet.push(member(&format!("i-{number}"), region, number + 1));
+    }
+    fleet
+}
+
+/// The view of one instance that a source has told of all others.
+fn view(fleet: &[members::Member], at: usize) -> members::Members {
+    let mut view = members::Members::new(fleet[at].clone());
+    view.told(source(), fleet.to_vec());
+    view
+}
+
+fn source() -> net::SocketAddr {
+    ([10, 9, 9, 9], 9).into()
+}
+
+fn names(members: &[&members::Member]) -> Vec<String> {
+    let mut names: Vec<String> = members.iter().map(|member| member.name.to_string()).collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn all_instances_agree_on_one_reader_in_each_region() {
+    let fleet = fleet(91);
+    let readers = names(&view(&fleet, 0).readers());
+    for at in 0..fleet.len() {
+        assert_eq!(names(&view(&fleet, at).readers()), readers, "seen from {at}");
+    }
+    let view = view(&fleet, 0);
+    let mut regions: Vec<&str> = view.readers().iter().map(|reader| &*reader.region).collect();
+    regions.sort();
+    assert_eq!(regions, REGIONS);
+}
+
+#[test]
+fn one_region_has_several_readers() {
+    let fleet: Vec<members::Member> =
+        (0..9).map(|number| member(&format!("i-{number}"), "north", number + 1)).collect();
+    assert_eq!(view(&fleet, 0).readers().len(), 3);
+}
+
+#[test]
+fn readers_that_are_cut_off_draining_or_silent_are_replaced() {
+    let mut fleet = fleet(30);
+    let first = names(&view(&fleet, 0).readers());
+    let at = |fleet: &[members::Member], name: &str| {
+        fleet.iter().position(|member| member.name.as_str() == name).unwrap()
+    };
+    let cut_off = at(&fleet, &first[0]);
+    fleet[cut_off].reaches_store = false;
+    let draining = at(&fleet, &first[1]);
+    fleet[draining].state = members::MemberState::Draining;
+    let mut view = view(&fleet, 0);
+    let silent = fleet[at(&fleet, &first[2])].control;
+    view.lost(0, silent, true);
+    let readers = names(&view.readers());
+    for name in &first {
+        assert!(!readers.contains(name), "{name} still reads");
+    }
+    view.expire(5_000_000);
+    let back = fleet[at(&fleet, &first[2])].name.to_string();
+    assert!(names(&view.readers()).contains(&back), "a frozen machine has woken");
+}
+
+#[test]
+fn a_lost_source_is_believed_for_a_while() {
+    let fleet = fleet(6);
+    let mut view = view(&fleet, 0);
+    view.lost(0, source(), false);
+    view.expire(1_900_000);
+    assert_eq!(view.live().len(), 6);
+    view.expire(2_100_000);
+    assert_eq!(view.live().len(), 1, "only itself is left");
+}
+
+#[test]
+fn a_source_that_is_lost_is_gone_at_once_itself() {
+    let fleet = fleet(6);
+    let mut view = members::Members::new(fleet[0].clone());
+    view.told(fleet[1].control, fleet.clone());
+    view.lost(0, fleet[1].control, false);
+    assert!(!names(&view.live()).contains(&fleet[1].name.to_string()));
+}
+
+#[test]
+fn the_later_life_of_a_name_wins() {
+    let fleet = fleet(2);
+    let mut view = members::Members::new(fleet[0].clone());
+    let reborn = members::Member { boot_ms: 9, ..fleet[1].clone() };
+    assert!(view.joined(reborn.clone()));
+    assert!(!view.joined(fleet[1].clone()), "its former life is late");
+    assert!(!view.left(&fleet[1].name, fleet[1].boot_ms), "the former life's connection ends");
+    assert_eq!(view.live(), [&fleet[0], &reborn]);
+    assert!(view.left(&reborn.name, 9));
+}
+
+#[test]
+fn telling_the_same_again_is_no_news() {
+    let fleet = fleet(3);
+    let mut view = members::Members::new(fleet[0].clone());
+    assert!(view.told(source(), fleet.clone()));
+    assert!(!view.told(source(), fleet.clone()));
+}
+
+/// The pattern: 91 instances share a searcher's 78 connections. With all of them in use, each would have
+/// less than one.
+#[test]
+fn where_connections_are_few_some_instances_of_each_region_take_clients() {
+    let fleet = fleet(91);
+    let mut config = configuration(1, Vec::new());
+    config.services[0].connections_max = 78;
+    let live: Vec<&members::Member> = fleet.iter().collect();
+    let active = address::Active::pick(&live, Some(&config));
+    let counts = REGIONS.map(|region| active.count_in(region));
+    assert_eq!(counts, [6, 5, 5], "78 connections, five for each");
+    assert_eq!(counts, REGIONS.map(|region| active.addresses(region).len()));
+    let survivors: Vec<&members::Member> =
+        fleet.iter().filter(|member| !active.contains(member)).collect();
+    let next = address::Active::pick(&survivors, Some(&config));
+    assert_eq!(next.count(), 15, "others take over when all of them are lost");
+}
+
+#[test]
+fn small_deployments_use_all_instances() {
+    let fleet = fleet(7);
+    let live: Vec<&members::Member> = fleet.iter().collect();
+    let active = address::Active::pick(&live, Some(&configuration(1, Vec::new())));
+    assert_eq!(active.count(), 7);
+}
+
+#[test]
+fn instances_that_start_or_drain_are_not_named_and_a_lone_one_is_joined_by_others() {
+    let mut fleet = fleet(6);
+    fleet[0].state = members::MemberState::Draining;
+    fleet[1].state = members::MemberState::Starting;
+    let live: Vec<&members::Member> = fleet.iter().collect();
+    let active = address::Active::pick(&live, None);
+    assert_eq!(active.addresses("west").len(), 2);
+    assert_eq!(active.addresses("north").len(), 2, "its one instance, and one from elsewhere");
+    assert_eq!(active.addresses("north")[0], fleet[3].front.unwrap());
+    assert_eq!(active.addresses("nowhere").len(), 2);
+    assert!(address::Active::pick(&[], None).addresses("north").is_empty());
+}
--- /dev/null
+++ b/tests/forward_registry.rs
@@ -0,0 +1,72 @@
+//! What is known of searchers: reports may come in any order, and entries may lapse with the store.
+
+mod forward_support;
+
+use forward_support::NEAR;
+use forward_support::SECOND_US;
+use forward_support::searcher;
+use quickcheck::quickcheck;
+use tarragondoor::discovery::registry;
+
+fn change(id: &str, revision: u64, is_there: bool) -> registry::SearcherChange {
+    registry::SearcherChange {
+        id: id.into(),
+        revision: registry::StoreRevision(revision),
+        searcher: is_there.then(|| searcher("a", NEAR, revision as u16)),
+    }
+}
+
+#[test]
+fn the_newest_revision_wins_in_any_order() {
+    fn holds(mut reports: Vec<(u8, u16, bool)>, seed: u64) -> bool {
+        // One revision has one state.
+        reports.sort();
+        reports.dedup_by_key(|(_, revision, _)| *revision);
+        let mut shuffled = reports.clone();
+        let mut state = seed;
+        for at in (1..shuffled.len()).rev() {
+            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            shuffled.swap(at, (state >> 33) as usize % (at + 1));
+        }
+        all(&reports) == all(&shuffled)
+    }
+
+    fn all(reports: &[(u8, u16, bool)]) -> Vec<registry::SearcherChange> {
+        let mut registry = registry::Registry::default();
+        for (id, revision, is_there) in reports {
+            let id = format!("i-{}", id % 5);
+            registry.apply(&change(&id, u64::from(*revision) + 1, *is_there));
+        }
+        registry.changes()
+    }
+
+    quickcheck(holds as fn(Vec<(u8, u16, bool)>, u64) -> bool);
+}
+
+#[test]
+fn only_what_differs_is_news() {
+    let mut registry = registry::Registry::default();
+    assert!(registry.apply(&change("i-1", 5, true)));
+    let beat =
+        registry::SearcherChange { revision: registry::StoreRevision(6), ..change("i-1", 5, true) };
+    assert!(!registry.apply(&beat), "a heartbeat changes the revision only");
+    assert!(!registry.apply(&change("i-1", 4, false)), "a removal that is older than the beat");
+    assert!(registry.apply(&change("i-1", 7, false)));
+    assert!(!registry.apply(&change("i-2", 8, false)), "an id that never was");
+    assert_eq!(registry.live_count(), 0);
+}
+
+#[test]
+fn removals_right_after_an_outage_are_held_until_searchers_had_time_to_return() {
+    let mut hold = registry::LapseHold::default();
+    let gone = vec![change("i-1", 5, false), change("i-2", 6, false)];
+    hold.recovered(SECOND_US);
+    assert!(hold.filter(SECOND_US, gone).is_empty());
+    let back = hold.filter(2 * SECOND_US, vec![change("i-1", 9, true)]);
+    assert_eq!(back, [change("i-1", 9, true)]);
+    assert!(hold.filter(3 * SECOND_US, Vec::new()).is_empty());
+    let released = hold.filter(SECOND_US + registry::LAPSE_HOLD_US, Vec::new());
+    assert_eq!(released, [change("i-2", 6, false)], "what has not returned is gone");
+    let later = hold.filter(9 * SECOND_US, vec![change("i-3", 10, false)]);
+    assert_eq!(later, [change("i-3", 10, false)], "without an outage nothing is held");
+}
--- /dev/null
+++ b/tests/forward_support/mod.rs
@@ -0,0 +1,177 @@
+//! Builders for what the forwarding decisions look at.
+#![allow(dead_code)]
+
+use compact_str::CompactString;
+use http::StatusCode;
+use tarragondoor::discovery::config;
+use tarragondoor::discovery::members;
+use tarragondoor::discovery::registry;
+use tarragondoor::forward::board;
+use tarragondoor::forward::budget;
+use tarragondoor::forward::latency;
+use tarragondoor::forward::link;
+use tarragondoor::forward::query;
+use tarragondoor::ids;
+
+pub const SECOND_US: u64 = 1_000_000;
+pub const NEAR: &str = "north-a";
+pub const FAR: &str = "south-a";
+
+pub fn service(name: &str) -> ids::ServiceName {
+    name.parse().unwrap()
+}
+
+pub fn searcher(service_name: &str, domain: &str, number: u16) -> registry::Searcher {
+    registry::Searcher {
+        service: service(service_name),
+        address: ([10, 0, 0, 1], number.max(1)).into(),
+        domain: domain.into(),
+        slots: 4,
+        state: registry::SearcherState::Ready,
+        born_ms: 1,
+    }
+}
+
+pub fn record(id: &str, searcher: registry::Searcher) -> registry::Record {
+    registry::Record {
+        id: id.into(),
+        revision: registry::StoreRevision(1),
+        searcher: Some(searcher),
+    }
+}
+
+pub fn distance(domain: &str) -> link::Distance {
+    match domain {
+        NEAR => link::Distance::SameDomain,
+        _ => link::Distance::OtherRegion,
+    }
+}
+
+/// A board with one near and two far searchers for each service, `a-0` being near.
+pub fn board(services: &[&str]) -> board::Board {
+    let mut records = Vec::new();
+    for (at, name) in services.iter().enumerate() {
+        for (replica, domain) in [NEAR, FAR, "west-a"].into_iter().enumerate() {
+            let number = (at * 3 + replica) as u16;
+            let id = format!("{name}-{replica}");
+            records.push(record(&id, searcher(name, domain, number)));
+        }
+    }
+    let mut board = board::Board::default();
+    board.share_among(board::Crowd { active: 3, active_near: 1, is_active: true });
+    board.sync(0, &records, distance, |_| 40);
+    board
+}
+
+pub fn rule() -> budget::Rule {
+    budget::Rule { ratio: 0.2, slack: 60.0, window_us: 10 * SECOND_US }
+}
+
+/// The state that decisions are made on, without a network.
+pub struct World {
+    pub board: board::Board,
+    pub budgets: budget::Budgets,
+    pub latencies: latency::Latencies,
+}
+
+impl World {
+    pub fn new(services: &[&str]) -> Self {
+        let mut budgets = budget::Budgets::new(rule());
+        budgets.share_among(0, 1, true);
+        Self { board: board(services), budgets, latencies: latency::Latencies::default() }
+    }
+
+    pub fn desk(&mut self) -> query::Desk<'_> {
+        query::Desk {
+            board: &mut self.board,
+            budgets: &mut self.budgets,
+            latencies: &self.latencies,
+        }
+    }
+}
+
+/// When tests begin: late enough for the budget's fixed part to be there.
+pub const START_US: u64 = 20 * SECOND_US;
+
+pub fn gather(services: &[&str], parts_min: usize) -> query::Ask {
+    query::Ask {
+        route: "browse".into(),
+        priority: 1,
+        is_idempotent: true,
+        attempts: 2,
+        services: services.iter().map(|name| service(name)).collect(),
+        parts_min,
+        is_gather: true,
+        arrived_us: START_US,
+        target_us: 250_000,
+        patience_us: 1_500_000,
+    }
+}
+
+pub fn single(is_idempotent: bool) -> query::Ask {
+    query::Ask {
+        route: "claim".into(),
+        is_idempotent,
+        services: vec![service("a")],
+        parts_min: 1,
+        is_gather: false,
+        target_us: 2_000_000,
+        patience_us: 6_000_000,
+        ..gather(&["a"], 1)
+    }
+}
+
+pub fn answer(status: u16) -> query::Outcome {
+    query::Outcome::Answered(query::Answer {
+        status: StatusCode::from_u16(status).unwrap(),
+        headers: http::HeaderMap::new(),
+        stamp: Some(http::HeaderValue::from_static("stamp")),
+        body: bytes::Bytes::new(),
+    })
+}
+
+pub fn member(name: &str, region: &str, number: u16) -> members::Member {
+    members::Member {
+        name: name.parse().unwrap(),
+        boot_ms: 1,
+        control: ([10, 1, 0, 1], number).into(),
+        front: Some(([10, 1, 0, 1], 10_000 + number).into()),
+        domain: CompactString::from(region),
+        region: region.into(),
+        cpu_millicores: 250,
+        state: members::MemberState::Ready,
+        reaches_store: true,
+    }
+}
+
+pub fn limits() -> config::Limits {
+    config::Limits {
+        header_max_bytes: 16_384,
+        body_max_bytes: 262_144,
+        header_timeout_ms: 3_000,
+        idle_timeout_ms: 15_000,
+    }
+}
+
+pub fn route(name: &str, host: &str, prefix: &str) -> config::Route {
+    config::Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        repeatability: config::Repeatability::Idempotent,
+        timeout_ms: 1_000,
+        target_latency_ms: 100,
+        priority: 0,
+        attempts: 2,
+        target: config::Target::Service(service("a")),
+    }
+}
+
+pub fn configuration(version: u64, routes: Vec<config::Route>) -> config::Config {
+    config::Config {
+        version: config::ConfigVersion(version),
+        routes,
+        services: vec![config::Service { name: service("a"), connections_max: 40 }],
+        limits: limits(),
+    }
+}
