What is observed of a searcher fades sooner

Cause: after a pause of 300 ms its searcher was taken for slow for four seconds, so half of the sends went to other regions (7,946 of 15,316 in tests/forward_load.rs, pauses of single searchers; 3,399 now). Change: a half-life of 0.7 s instead of 2.5 s.

--- a/src/forward/board.rs
+++ b/src/forward/board.rs
@@ -14,7 +14,7 @@
 /// The weight of a new sample of failure.
 const FAILURE_GAIN: f64 = 0.25;
 /// The time in which an observation loses half of its weight.
-const HALF_LIFE_US: f64 = 2_500_000.0;
+const HALF_LIFE_US: f64 = 700_000.0;
 /// What a failed send costs beside the second send, in latency.
 const FAILURE_COST_US: f64 = 80_000.0;
 /// A request that is unanswered for this many times its expected latency makes its searcher suspect.
--- a/tests/forward_load.rs
+++ b/tests/forward_load.rs
@@ -232,6 +232,8 @@
     assert!(share(ours.whole_in_time, ours.asked) >= 980, "{ours:?}");
     assert!(ours.whole_in_time > plain.whole_in_time);
     assert!(share(ours.sends, SHARDS.len() * ours.asked) <= 1_200, "{ours:?}");
+    // A pause takes 4 % of the time; some seconds of memory of it sent half of the work away.
+    assert!(share(ours.far_sends, ours.sends) <= 250, "{ours:?}");
 }
 
 /// The pattern: an eighth of the searchers, of all shards, take eight times as long for ten seconds.
