--- a/src/discovery/reader.rs
+++ b/src/discovery/reader.rs
@@ -55,10 +55,23 @@
     hold: sync::Mutex<registry::LapseHold>,
 }
 
+/// What is asked of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumCount, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum Call {
+    Config,
+    Searchers,
+}
+
+/// How many kinds of calls there are.
+const CALL_COUNT: usize = <Call as strum::EnumCount>::COUNT;
+
 /// How the store has answered.
 #[derive(Clone, Copy, Debug, Default)]
 struct Status {
-    failing_since_us: Option<u64>,
+    /// For each kind of call, since when it has failed: a watch that was waiting may still be answered
+    /// when other calls fail already.
+    failing_since_us: [Option<u64>; CALL_COUNT],
     unfit_until_us: u64,
 }
 
@@ -149,7 +162,7 @@
             match result {
                 Ok(read) => {
                     pause = PAUSE_MIN;
-                    self.answered("config");
+                    self.answered(Call::Config);
                     let age_us = clock::now_us() - started_us;
                     let is_first = after.is_none();
                     let has_config = read.config.is_some();
@@ -166,7 +179,7 @@
                 }
                 Err(source::SourceError::HistoryLost) => after = None,
                 Err(error) => {
-                    self.failed(&error, "config");
+                    self.failed(&error, Call::Config);
                     pause = self.rest(pause).await;
                 }
             }
@@ -189,7 +202,7 @@
             match result {
                 Ok(read) => {
                     pause = PAUSE_MIN;
-                    self.answered("searchers");
+                    self.answered(Call::Searchers);
                     after = Some(read.as_of);
                     let now_us = clock::now_us();
                     let changes = locks::lock(&self.hold).filter(now_us, read.changes);
@@ -199,7 +212,7 @@
                 }
                 Err(source::SourceError::HistoryLost) => after = None,
                 Err(error) => {
-                    self.failed(&error, "searchers");
+                    self.failed(&error, Call::Searchers);
                     pause = self.rest(pause).await;
                 }
             }
@@ -233,28 +246,33 @@
         (pause * 2).min(PAUSE_MAX)
     }
 
-    fn answered(&self, call: &'static str) {
-        self.metrics.store_called(call, "answered");
-        let since_us = locks::lock(&self.status).failing_since_us.take();
+    fn answered(&self, call: Call) {
+        self.metrics.store_called(call.into(), "answered");
+        let since_us = locks::lock(&self.status).failing_since_us[call as usize].take();
         let Some(since_us) = since_us else {
             return;
         };
         let now_us = clock::now_us();
-        event!(info, Event::StoreRegained, outage_ms = (now_us - since_us) / 1_000);
-        if now_us - since_us >= LAPSE_MIN_US {
+        let name: &str = call.into();
+        event!(info, Event::StoreRegained, call = name, outage_ms = (now_us - since_us) / 1_000);
+        if call == Call::Searchers && now_us - since_us >= LAPSE_MIN_US {
             locks::lock(&self.hold).recovered(now_us);
         }
     }
 
-    fn failed(&self, error: &source::SourceError, call: &'static str) {
-        self.metrics.store_called(call, "failed");
+    fn failed(&self, error: &source::SourceError, call: Call) {
+        let name: &str = call.into();
+        self.metrics.store_called(name, "failed");
         let now_us = clock::now_us();
         let mut status = locks::lock(&self.status);
-        if status.failing_since_us.is_none() {
-            status.failing_since_us = Some(now_us);
-            event!(warn, Event::StoreLost, call, %error);
-        }
-        let since_us = status.failing_since_us.unwrap_or(now_us);
+        let since_us = match status.failing_since_us[call as usize] {
+            Some(since_us) => since_us,
+            None => {
+                event!(warn, Event::StoreLost, call = name, %error);
+                now_us
+            }
+        };
+        status.failing_since_us[call as usize] = Some(since_us);
         if now_us - since_us > FAILING_AFTER_US {
             status.unfit_until_us = now_us + UNFIT_FOR_US;
         }
--- a/src/forward/door.rs
+++ b/src/forward/door.rs
@@ -12,6 +12,7 @@
 use crate::forward::query;
 use crate::forward::run;
 use crate::ids;
+use crate::rate_limit;
 use bytes::Bytes;
 use compact_str::CompactString;
 use http_body_util::BodyExt as _;
@@ -40,6 +41,11 @@
 /// The smallest buffer that the library accepts for a request's head.
 const HEAD_BUFFER_MIN_BYTES: usize = 8 << 10;
 
+/// How many lines of requests that went well are logged in a second at most: a sample.
+const SERVED_LINES_PER_S: u32 = 5;
+/// How many lines of other requests are logged in a second at most: several times what an instance of the
+/// smallest size fails in its worst seconds.
+const TROUBLED_LINES_PER_S: u32 = 300;
 /// The path of the metrics.
 pub const METRICS_PATH: &str = "/metrics";
 
@@ -61,6 +67,8 @@
     forwarder: sync::Arc<run::Forwarder>,
     phase: watch::Sender<Phase>,
     open_count: atomic::AtomicUsize,
+    served_lines: rate_limit::RateLimit,
+    troubled_lines: rate_limit::RateLimit,
 }
 
 /// Closes the client's connection without an answer.
@@ -78,6 +86,8 @@
             forwarder,
             phase: watch::Sender::new(Phase::Serving),
             open_count: atomic::AtomicUsize::new(0),
+            served_lines: rate_limit::RateLimit::new(SERVED_LINES_PER_S),
+            troubled_lines: rate_limit::RateLimit::new(TROUBLED_LINES_PER_S),
         }
     }
 
@@ -250,10 +260,25 @@
         let latency_s = latency_ms / 1_000.0;
         self.forwarder.metrics().answered(route.priority, outcome, latency_s, missing);
         let ages = self.view.ages();
+        let now_us = clock::now_us();
         if is_good {
-            event!(debug, Event::RequestServed, request = %id, route = %route.name, latency_ms);
+            let Some(left_out) = self.served_lines.allow(now_us) else {
+                return;
+            };
+            event!(
+                info,
+                Event::RequestServed,
+                request = %id,
+                route = %route.name,
+                latency_ms,
+                config = config.version.0,
+                left_out
+            );
             return;
         }
+        let Some(left_out) = self.troubled_lines.allow(now_us) else {
+            return;
+        };
         event!(
             info,
             Event::RequestTroubled,
@@ -270,7 +295,8 @@
             config = config.version.0,
             config_age_ms = ages.config_us.map(|us| us / 1_000),
             searchers_age_ms = ages.searchers_us.map(|us| us / 1_000),
-            troubles = %report.troubles
+            troubles = %report.troubles,
+            left_out
         );
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod policy;
 pub mod query;
 pub mod rank;
+pub mod rate_limit;
 pub mod routes;
 pub mod seal;
 pub mod searcher;
