Entries that lapsed in an outage are held by a reader that has seen little of it

Cause: readers change while the store is down, so the one that reads at its end may not know of the outage and would report all lapsed searchers as gone. Change: the age of the view tells of it too. A test that fails without it.

--- a/src/discovery/reader.rs
+++ b/src/discovery/reader.rs
@@ -36,8 +36,6 @@
 const FAILING_AFTER_US: u64 = 900_000;
 /// How long an instance that the store has failed is passed over as a reader.
 const UNFIT_FOR_US: u64 = 6_000_000;
-/// The shortest outage in which entries of living searchers may lapse: they last three heartbeats.
-const LAPSE_MIN_US: u64 = 1_000_000;
 /// How often an instance looks whether it is its turn.
 const TURN_PERIOD: time::Duration = time::Duration::from_millis(100);
 
@@ -202,10 +200,15 @@
             match result {
                 Ok(read) => {
                     pause = PAUSE_MIN;
-                    self.answered(Call::Searchers);
+                    let view_age_us = self.view.ages().searchers_us;
+                    let failing_us = self.answered(Call::Searchers);
                     after = Some(read.as_of);
                     let now_us = clock::now_us();
-                    let changes = locks::lock(&self.hold).filter(now_us, read.changes);
+                    let changes = {
+                        let mut hold = locks::lock(&self.hold);
+                        hold.answered(now_us, view_age_us, failing_us);
+                        hold.filter(now_us, read.changes)
+                    };
                     self.view.apply_searchers(changes, now_us - started_us);
                     self.view.searchers_verified(now_us - started_us);
                     tokio::time::sleep(SEARCHERS_PERIOD).await;
@@ -246,18 +249,18 @@
         (pause * 2).min(PAUSE_MAX)
     }
 
-    fn answered(&self, call: Call) {
+    /// Notes that the store has answered. Returns for how long it had failed.
+    fn answered(&self, call: Call) -> u64 {
         self.metrics.store_called(call.into(), "answered");
         let since_us = locks::lock(&self.status).failing_since_us[call as usize].take();
         let Some(since_us) = since_us else {
-            return;
+            return 0;
         };
         let now_us = clock::now_us();
         let name: &str = call.into();
-        event!(info, Event::StoreRegained, call = name, outage_ms = (now_us - since_us) / 1_000);
-        if call == Call::Searchers && now_us - since_us >= LAPSE_MIN_US {
-            locks::lock(&self.hold).recovered(now_us);
-        }
+        let failing_us = now_us - since_us;
+        event!(info, Event::StoreRegained, call = name, outage_ms = failing_us / 1_000);
+        failing_us
     }
 
     fn failed(&self, error: &source::SourceError, call: Call) {
--- a/tests/forward_registry.rs
+++ b/tests/forward_registry.rs
@@ -60,7 +60,7 @@
 fn removals_right_after_an_outage_are_held_until_searchers_had_time_to_return() {
     let mut hold = registry::LapseHold::default();
     let gone = vec![change("i-1", 5, false), change("i-2", 6, false)];
-    hold.recovered(SECOND_US);
+    hold.answered(SECOND_US, Some(SECOND_US), 4 * SECOND_US);
     assert!(hold.filter(SECOND_US, gone).is_empty());
     let back = hold.filter(2 * SECOND_US, vec![change("i-1", 9, true)]);
     assert_eq!(back, [change("i-1", 9, true)]);
@@ -70,3 +70,21 @@
     let later = hold.filter(9 * SECOND_US, vec![change("i-3", 10, false)]);
     assert_eq!(later, [change("i-3", 10, false)], "without an outage nothing is held");
 }
+
+/// Who reads changes hands in an outage: the one that reads at its end has seen little of it.
+#[test]
+fn an_old_view_tells_of_an_outage_that_the_reader_has_not_seen() {
+    let cases = [
+        (None, 0, false),
+        (Some(SECOND_US), 0, false),
+        (Some(SECOND_US), SECOND_US / 2, false),
+        (Some(3 * SECOND_US), 0, true),
+        (Some(SECOND_US), 2 * SECOND_US, true),
+    ];
+    for (view_age_us, failing_us, is_held) in cases {
+        let mut hold = registry::LapseHold::default();
+        hold.answered(SECOND_US, view_age_us, failing_us);
+        let passed = hold.filter(SECOND_US, vec![change("i-1", 5, false)]);
+        assert_eq!(passed.is_empty(), is_held, "{view_age_us:?} {failing_us}");
+    }
+}
