--- a/src/cli.rs
+++ b/src/cli.rs
@@ -77,6 +77,15 @@
     pub wait_ms: u32,
 }
 
+/// `explain`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Explain {
+    /// The request's id.
+    pub id: CompactString,
+    /// Files with instances' logs; standard input if there are none.
+    pub files: Vec<path::PathBuf>,
+}
+
 /// `status`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Status;
@@ -137,6 +146,8 @@
     Declare(Declare),
     /// `confirm`.
     Confirm(Confirm),
+    /// `explain`.
+    Explain(Explain),
     /// `status`.
     Status(Status),
     /// `instances`.
@@ -152,6 +163,7 @@
 #[derive(Default)]
 struct Values {
     operand: Option<ffi::OsString>,
+    files: Vec<path::PathBuf>,
     services: Vec<ids::ServiceName>,
     query: Option<CompactString>,
     operation: Option<ids::OperationName>,
@@ -192,7 +204,7 @@
         "seed",
     ];
     match command {
-        "check" | "declare" | "status" => Some(&[]),
+        "check" | "declare" | "explain" | "status" => Some(&[]),
         "confirm" => Some(&["wait-ms"]),
         "instances" => Some(&["region", "domain"]),
         "search" => Some(SEARCH),
@@ -233,6 +245,9 @@
                 command = Some(name);
             }
             lexopt::Arg::Value(value) if values.operand.is_none() => values.operand = Some(value),
+            lexopt::Arg::Value(value) if command.as_deref() == Some("explain") => {
+                values.files.push(value.into());
+            }
             argument => return Err(argument.unexpected()),
         }
     }
@@ -271,7 +286,7 @@
 
 fn build(command: &str, mut values: Values) -> Result<Command, lexopt::Error> {
     let operand = values.operand.take();
-    let takes_operand = matches!(command, "check" | "declare" | "confirm");
+    let takes_operand = matches!(command, "check" | "declare" | "confirm" | "explain");
     if let Some(operand) = &operand
         && !takes_operand
     {
@@ -286,6 +301,10 @@
             let plan = CompactString::from(operand.ok_or("PLAN is missing")?.string()?);
             Ok(Command::Confirm(Confirm { plan, wait_ms: values.wait_ms.unwrap_or(10_000) }))
         }
+        "explain" => {
+            let id = CompactString::from(operand.ok_or("ID is missing")?.string()?);
+            Ok(Command::Explain(Explain { id, files: values.files }))
+        }
         "status" => Ok(Command::Status(Status)),
         "instances" => Ok(Command::Instances(Instances)),
         "search" => Ok(Command::Search(Search {
--- /dev/null
+++ b/src/cmd/explain.rs
@@ -0,0 +1,28 @@
+//! `explain`: what became of a request, from instances' logs.
+
+use super::{Failure, Run};
+use crate::cli;
+use crate::explain;
+use error_stack::{Report, ResultExt as _};
+use std::fs;
+use std::io;
+use std::io::Read as _;
+
+impl Run for cli::Explain {
+    fn run(&self, _: &cli::Global) -> Result<cli::Exit, Report<Failure>> {
+        let mut logs = String::new();
+        for file in &self.files {
+            let text = fs::read_to_string(file);
+            logs += &text.change_context(Failure::Failed("could not read the log"))?;
+            logs.push('\n');
+        }
+        if self.files.is_empty() {
+            let read = io::stdin().read_to_string(&mut logs);
+            read.change_context(Failure::Failed("could not read the log"))?;
+        }
+        match explain::explain(&self.id, &logs) {
+            Some(explanation) => super::print(&explanation),
+            None => Err(Report::new(Failure::Failed("no line of the logs is about this request"))),
+        }
+    }
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod confirm;
 mod declare;
+mod explain;
 mod instances;
 mod run;
 mod search;
@@ -70,6 +71,7 @@
             cli::Command::Check(command) => command.run(global),
             cli::Command::Declare(command) => command.run(global),
             cli::Command::Confirm(command) => command.run(global),
+            cli::Command::Explain(command) => command.run(global),
             cli::Command::Status(command) => command.run(global),
             cli::Command::Instances(command) => command.run(global),
             cli::Command::Search(command) => command.run(global),
--- /dev/null
+++ b/src/explain.rs
@@ -0,0 +1,137 @@
+//! Finds the lines of one request in instances' logs and says what became of it.
+
+use serde::Deserialize;
+use std::fmt::Write as _;
+
+/// The fields that decide on the explanation.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+struct Line {
+    timestamp: String,
+    name: String,
+    request: String,
+    route: String,
+    outcome: String,
+    status: u16,
+    latency_ms: f64,
+    target_ms: u64,
+    parts: usize,
+    parts_wanted: usize,
+    extra_sends: usize,
+    config: u64,
+    config_age_ms: Option<u64>,
+    searchers_age_ms: Option<u64>,
+    troubles: String,
+    host: String,
+    path: String,
+}
+
+/// The explanation of a request from the logs' text, or `None` if no line is about it. Text before a line's
+/// first brace is passed over: collectors put names and times there.
+pub fn explain(id: &str, logs: &str) -> Option<String> {
+    let mut found: Vec<(Line, &str)> = Vec::new();
+    for text in logs.lines() {
+        let Some(start) = text.find('{') else {
+            continue;
+        };
+        let Ok(line) = serde_json::from_str::<Line>(&text[start..]) else {
+            continue;
+        };
+        if line.request == id {
+            found.push((line, text));
+        }
+    }
+    if found.is_empty() {
+        return None;
+    }
+    found.sort_by(|(a, _), (b, _)| a.timestamp.cmp(&b.timestamp));
+    let mut explanation = String::new();
+    for (line, text) in &found {
+        // Writing to a string does not fail.
+        let _ = writeln!(explanation, "{text}");
+        let _ = writeln!(explanation, "  {}", sentence(line));
+        for trouble in troubles(&line.troubles) {
+            let _ = writeln!(explanation, "  - {trouble}");
+        }
+    }
+    Some(explanation)
+}
+
+fn sentence(line: &Line) -> String {
+    let age = |age_ms: Option<u64>| age_ms.map_or("unknown".to_owned(), |ms| format!("{ms} ms"));
+    let basis = format!(
+        "Decided on configuration {} (confirmed {} before) and searchers (complete {} before).",
+        line.config,
+        age(line.config_age_ms),
+        age(line.searchers_age_ms)
+    );
+    let what = match (line.name.as_str(), line.outcome.as_str()) {
+        ("request_served", _) => {
+            return format!("Served whole and in time, {:.0} ms.", line.latency_ms);
+        }
+        ("no_route", _) => {
+            return format!(
+                "No route of configuration {} fits {}{}.",
+                line.config, line.host, line.path
+            );
+        }
+        ("send_failed", _) => return "A send to a searcher brought no answer.".to_owned(),
+        (_, "refused") => "Refused with status 503 before any searcher ran it.".to_owned(),
+        (_, "failed") => format!(
+            "Failed with status {} after {:.0} ms: {} of {} parts were in and enough could not come.",
+            line.status, line.latency_ms, line.parts, line.parts_wanted
+        ),
+        (_, "timed_out") => format!(
+            "Given up after {:.0} ms, its deadline or the route's timeout, with {} of {} parts.",
+            line.latency_ms, line.parts, line.parts_wanted
+        ),
+        (_, "late") => format!(
+            "Answered after {:.0} ms, later than the target of {} ms, with {} of {} parts.",
+            line.latency_ms, line.target_ms, line.parts, line.parts_wanted
+        ),
+        (_, "in_time") => format!(
+            "Answered in time, without {} of {} parts.",
+            line.parts_wanted.saturating_sub(line.parts),
+            line.parts_wanted
+        ),
+        (_, "searcher_error") => {
+            format!("A searcher answered with status {}, passed on as it was.", line.status)
+        }
+        (name, outcome) => format!("{name} {outcome}"),
+    };
+    format!("{what} {} second sends on route {}. {basis}", line.extra_sends, line.route)
+}
+
+/// What went wrong, part by part: `service:searcher:reason:outcome:time` for a send, `service:cause` for a
+/// part that was given up.
+fn troubles(text: &str) -> Vec<String> {
+    let mut troubles = Vec::new();
+    for item in text.split(' ') {
+        let fields: Vec<&str> = item.split(':').collect();
+        match fields[..] {
+            [service, searcher, reason, outcome, took] => {
+                let outcome = match outcome {
+                    "open" => "had not answered",
+                    "lost" => "broke off without a whole answer",
+                    "rejected" => "did not run it",
+                    "not_sent" => "could not be connected to",
+                    other => other,
+                };
+                troubles.push(format!("{service}: {reason} send, {searcher} {outcome} after {took}"));
+            }
+            [service, cause] => {
+                let cause = match cause {
+                    "no_searcher" => "no searcher is left that was not tried",
+                    "busy" => "all its searchers have as many sends as this instance may make",
+                    "no_budget" => "the budget of second sends is used up",
+                    "attempts_used" => "it was sent as often as the route allows",
+                    "final_answer" => "a searcher says that the request is wrong",
+                    other => other,
+                };
+                troubles.push(format!("{service}: given up, {cause}"));
+            }
+            _ => continue,
+        }
+    }
+    troubles
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod entry;
 pub mod estimate;
 pub mod events;
+pub mod explain;
 pub mod forward;
 pub mod frame;
 pub mod gate;
