--- a/src/explain.rs
+++ b/src/explain.rs
@@ -117,7 +117,8 @@
                     "not_sent" => "could not be connected to",
                     other => other,
                 };
-                troubles.push(format!("{service}: {reason} send, {searcher} {outcome} after {took}"));
+                troubles
+                    .push(format!("{service}: {reason} send, {searcher} {outcome} after {took}"));
             }
             [service, cause] => {
                 let cause = match cause {
