--- a/src/discovery/reader.rs
+++ b/src/discovery/reader.rs
@@ -13,19 +13,22 @@
 use std::time;
 use xxhash_rust::xxh3;
 
-/// How long a watch of the configuration waits at the store.
-const CONFIG_WAIT: time::Duration = time::Duration::from_millis(2_000);
-/// The pace of reads of searchers. Each searcher writes about once in a second, so a watch would return at
-/// once, for ever; the bound for a searcher that drains is three seconds or more.
-const SEARCHERS_PERIOD: time::Duration = time::Duration::from_millis(900);
+/// The share of the bound for configurations that a watch waits at the store: if its connection is silent, a
+/// second one still has time.
+const CONFIG_WAIT_SHARE: f64 = 0.4;
+/// The share of the bound for searchers that drain between two reads of searchers. Each searcher writes about
+/// once in a second, so a watch would return at once, for ever.
+const SEARCHERS_PERIOD_SHARE: f64 = 0.3;
 /// How long a watch of searchers waits at the store.
 const SEARCHERS_WAIT: time::Duration = time::Duration::from_millis(500);
 /// The first pause after a failed call; it doubles up to [`PAUSE_MAX`].
 const PAUSE_MIN: time::Duration = time::Duration::from_millis(150);
 /// The longest pause after failed calls.
 const PAUSE_MAX: time::Duration = time::Duration::from_millis(800);
-/// How long an instance that is no reader lets its view grow old before it reads for itself.
-const STALE_AFTER_US: u64 = 1_900_000;
+/// How much older than a reader's period a view grows before an instance that is no reader reads for itself.
+const STALE_SLACK_US: u64 = 1_000_000;
+/// How much older than a reader's period a view is that may have missed an outage of the store.
+const OUTAGE_SLACK_US: u64 = 1_700_000;
 /// The spread of that time over instances, so that they do not all read at once.
 const STALE_SPREAD_US: u64 = 600_000;
 /// How long an instance of a system that starts as a whole waits for a source, unless it is a seed itself.
@@ -39,12 +42,23 @@
 /// How often an instance looks whether it is its turn.
 const TURN_PERIOD: time::Duration = time::Duration::from_millis(100);
 
+/// How soon changes have to take effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// From a configuration's acknowledgement until it is in force.
+    pub config_apply: time::Duration,
+    /// From a searcher's report that it drains until it gets no new work.
+    pub drain: time::Duration,
+}
+
 /// Reads the store whenever it is this instance's turn.
 pub struct Reader<S> {
     view: sync::Arc<view::View>,
     store: S,
     metrics: sync::Arc<metrics::Metrics>,
     is_seed: bool,
+    config_wait: time::Duration,
+    searchers_period: time::Duration,
     started_us: u64,
     stale_after_us: u64,
     /// How long it waits for a source at the start.
@@ -80,9 +94,12 @@
         store: S,
         seeds: &[net::SocketAddr],
         is_first_start: bool,
+        bounds: Bounds,
         metrics: sync::Arc<metrics::Metrics>,
     ) -> Self {
         let me = view.with_members(|members| members.me().clone());
+        let searchers_period = bounds.drain.mul_f64(SEARCHERS_PERIOD_SHARE);
+        let period_us = searchers_period.as_micros() as u64;
         let spread = xxh3::xxh3_64(me.name.as_str().as_bytes()) % STALE_SPREAD_US;
         Self {
             is_seed: seeds.is_empty() || seeds.contains(&me.control),
@@ -90,11 +107,13 @@
             store,
             metrics,
             started_us: clock::now_us(),
-            stale_after_us: STALE_AFTER_US + spread,
+            config_wait: bounds.config_apply.mul_f64(CONFIG_WAIT_SHARE),
+            searchers_period,
+            stale_after_us: period_us + STALE_SLACK_US + spread,
             patience_us: spread
                 + if is_first_start { START_PATIENCE_US } else { RESTART_PATIENCE_US },
             status: sync::Mutex::default(),
-            hold: sync::Mutex::default(),
+            hold: sync::Mutex::new(registry::LapseHold::new(period_us + OUTAGE_SLACK_US)),
         }
     }
 
@@ -154,7 +173,7 @@
             }
             let started_us = clock::now_us();
             let result = match after {
-                Some(after) => self.store.watch_config(after, CONFIG_WAIT).await,
+                Some(after) => self.store.watch_config(after, self.config_wait).await,
                 None => self.store.read_config().await,
             };
             match result {
@@ -211,7 +230,7 @@
                     };
                     self.view.apply_searchers(changes, now_us - started_us);
                     self.view.searchers_verified(now_us - started_us);
-                    tokio::time::sleep(SEARCHERS_PERIOD).await;
+                    tokio::time::sleep(self.searchers_period).await;
                 }
                 Err(source::SourceError::HistoryLost) => after = None,
                 Err(error) => {
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -152,9 +152,6 @@
 /// promises that entries of living searchers are back within about two seconds.
 pub const LAPSE_HOLD_US: u64 = 2_200_000;
 
-/// From this age of the view on there may have been an outage: a view is renewed each second, and entries
-/// last three heartbeats of about a second.
-const OUTAGE_AGE_US: u64 = 2_600_000;
 /// From this time of failing calls on there may have been an outage in which entries lapsed.
 const OUTAGE_FAILING_US: u64 = 1_000_000;
 
@@ -162,18 +159,25 @@
 ///
 /// Leases may lapse while the store is down, though the searchers live. Removals seen right after an outage
 /// are told on only when the searchers have had time to register again.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct LapseHold {
+    /// From this age of the view on there may have been an outage.
+    outage_age_us: u64,
     held: Vec<SearcherChange>,
     until_us: Option<u64>,
 }
 
 impl LapseHold {
+    /// Holds nothing back. A view that is older than `outage_age_us` tells of an outage.
+    pub fn new(outage_age_us: u64) -> Self {
+        Self { outage_age_us, held: Vec::new(), until_us: None }
+    }
+
     /// The store has answered. `view_age_us` is how old the view was until then, and `failing_us` for how
     /// long this instance's own calls had failed. Either may tell of an outage: an instance that began to
     /// read at its end has seen little of it.
     pub fn answered(&mut self, now_us: u64, view_age_us: Option<u64>, failing_us: u64) {
-        let is_old = view_age_us.is_some_and(|age_us| age_us >= OUTAGE_AGE_US);
+        let is_old = view_age_us.is_some_and(|age_us| age_us >= self.outage_age_us);
         if is_old || failing_us >= OUTAGE_FAILING_US {
             self.until_us = Some(now_us + LAPSE_HOLD_US);
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -34,6 +34,8 @@
     pub is_first_start: bool,
     /// Failure domains and their regions.
     pub regions: Vec<(CompactString, CompactString)>,
+    /// How soon changes have to take effect.
+    pub bounds: reader::Bounds,
     /// The budget of second sends.
     pub budget: budget::Rule,
     /// The time from a request to stop to the process being killed.
@@ -127,8 +129,14 @@
     if let Some(address) = listen.front {
         tokio::spawn(door.clone().serve_clients(bind(address).await?));
     }
-    let reader =
-        reader::Reader::new(view.clone(), store, &settings.seeds, settings.is_first_start, metrics);
+    let reader = reader::Reader::new(
+        view.clone(),
+        store,
+        &settings.seeds,
+        settings.is_first_start,
+        settings.bounds,
+        metrics,
+    );
     tokio::spawn(reader.run());
     tokio::spawn(subscriber::run(view.clone(), settings.seeds));
     tokio::spawn(async move { forwarder.follow_view().await });
--- a/tests/forward_registry.rs
+++ b/tests/forward_registry.rs
@@ -58,7 +58,7 @@
 
 #[test]
 fn removals_right_after_an_outage_are_held_until_searchers_had_time_to_return() {
-    let mut hold = registry::LapseHold::default();
+    let mut hold = registry::LapseHold::new(5 * SECOND_US / 2);
     let gone = vec![change("i-1", 5, false), change("i-2", 6, false)];
     hold.answered(SECOND_US, Some(SECOND_US), 4 * SECOND_US);
     assert!(hold.filter(SECOND_US, gone).is_empty());
@@ -82,7 +82,7 @@
         (Some(SECOND_US), 2 * SECOND_US, true),
     ];
     for (view_age_us, failing_us, is_held) in cases {
-        let mut hold = registry::LapseHold::default();
+        let mut hold = registry::LapseHold::new(5 * SECOND_US / 2);
         hold.answered(SECOND_US, view_age_us, failing_us);
         let passed = hold.filter(SECOND_US, vec![change("i-1", 5, false)]);
         assert_eq!(passed.is_empty(), is_held, "{view_age_us:?} {failing_us}");
