Searchers are told to the own region only; other sources show by a digest whether anything is missing

Change: pulses bear a digest of the searchers, and an instance that lacks something asks. A view counts as complete only if its digest is the source's.

--- a/src/discovery/feed.rs
+++ b/src/discovery/feed.rs
@@ -27,12 +27,14 @@
     },
     /// Send the configuration, whole.
     SendConfig,
+    /// Send all searchers.
+    SendSearchers,
 }
 
 /// From a source to its subscriber.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Update {
-    /// Searchers: all at first, then those that changed.
+    /// Searchers: all when asked for, and those that change to subscribers of the own region.
     Searchers(Vec<registry::SearcherChange>),
     /// The source's members, all of them.
     Members(Vec<members::Member>),
@@ -44,6 +46,8 @@
     Pulse {
         /// The newest configuration that the source has.
         config: config::ConfigVersion,
+        /// The digest of the searchers that the source knows.
+        searchers: registry::Digest,
         /// How long ago the source's view of the searchers was complete; `None` if it never was.
         searchers_age_us: Option<u64>,
         /// How long ago the source's configuration was the newest; `None` if it has none.
--- a/src/discovery/publisher.rs
+++ b/src/discovery/publisher.rs
@@ -108,6 +108,7 @@
                 request = requests.recv() => match request {
                     Some(feed::Request::Hello { member, config }) => self.hello(member, config).await?,
                     Some(feed::Request::SendConfig) => self.send_config().await?,
+                    Some(feed::Request::SendSearchers) => self.send_searchers().await?,
                     None => return Ok(()),
                 },
                 update = updates.recv(), if self.subscriber.is_some() => match update {
@@ -161,13 +162,19 @@
 
     /// Sends all but the configuration.
     async fn send_all(&mut self) -> Result<(), frame::FrameError> {
-        let changes = self.view.with_registry(|registry| registry.changes());
-        self.send(&feed::Update::Searchers(changes)).await?;
+        if self.is_near() {
+            self.send_searchers().await?;
+        }
         self.members_changed = true;
         self.send_members().await?;
         self.send_pulse().await
     }
 
+    async fn send_searchers(&mut self) -> Result<(), frame::FrameError> {
+        let changes = self.view.with_registry(|registry| registry.changes());
+        self.send(&feed::Update::Searchers(changes)).await
+    }
+
     async fn send_config(&mut self) -> Result<(), frame::FrameError> {
         let Some(table) = self.view.table() else {
             return Ok(());
@@ -175,14 +182,15 @@
         self.send(&feed::Update::Config(Box::new(config::Config::clone(&table.config)))).await
     }
 
-    /// Passes an update on. Configurations go to subscribers of the own region only: bytes between
-    /// regions are dear, and others ask if their own region's reader has not told them.
+    /// Passes an update on. Searchers and configurations go to subscribers of the own region only: bytes
+    /// between regions are dear, and others ask if their own region's reader has not told them.
     async fn forward(&mut self, update: &feed::Update) -> Result<(), frame::FrameError> {
         match update {
             feed::Update::Members(_) => {
                 self.members_changed = true;
                 Ok(())
             }
+            feed::Update::Searchers(_) if !self.is_near() => Ok(()),
             feed::Update::Config(_) | feed::Update::ConfigDelta(_) if !self.is_near() => {
                 self.send_pulse().await
             }
@@ -194,6 +202,7 @@
         let ages = self.view.ages();
         let pulse = feed::Update::Pulse {
             config: self.view.config_version(),
+            searchers: self.view.digest(),
             searchers_age_us: ages.searchers_us,
             config_age_us: ages.config_us,
         };
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -7,7 +7,10 @@
 use crate::ids;
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
+use std::hash::Hash;
+use std::hash::Hasher as _;
 use std::net;
+use xxhash_rust::xxh3;
 
 /// A revision of the platform's store.
 #[derive(
@@ -32,7 +35,16 @@
 
 /// Whether a searcher takes new work.
 #[derive(
-    Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display, strum::EnumString,
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
 )]
 #[strum(serialize_all = "snake_case")]
 pub enum SearcherState {
@@ -43,7 +55,7 @@
 }
 
 /// What a searcher says of itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Searcher {
     /// The service it belongs to.
     pub service: ids::ServiceName,
@@ -81,6 +93,18 @@
     pub searcher: Option<Searcher>,
 }
 
+/// Tells two registries apart that do not hold the same searchers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Digest(pub u64);
+
+impl Hash for Record {
+    fn hash<H: std::hash::Hasher>(&self, state: &mut H) {
+        self.id.hash(state);
+        self.searcher.hash(state);
+    }
+}
+
 /// All searchers known.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
@@ -142,6 +166,17 @@
         changes
     }
 
+    /// The digest of the searchers, without revisions: they differ between readers with each heartbeat.
+    pub fn digest(&self) -> Digest {
+        let mut hasher = xxh3::Xxh3::new();
+        for record in &self.records {
+            if record.searcher.is_some() {
+                record.hash(&mut hasher);
+            }
+        }
+        Digest(hasher.finish())
+    }
+
     /// How many searchers are there.
     pub fn live_count(&self) -> usize {
         self.records.iter().filter(|record| record.searcher.is_some()).count()
--- a/src/discovery/subscriber.rs
+++ b/src/discovery/subscriber.rs
@@ -1,8 +1,10 @@
 //! Connects to the instances that read the store (and, at first, to the seeds) and takes in what they tell.
 
 use crate::clock;
+use crate::discovery::config;
 use crate::discovery::feed;
 use crate::discovery::members;
+use crate::discovery::registry;
 use crate::discovery::view;
 use crate::event;
 use crate::events::Event;
@@ -23,9 +25,11 @@
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(100);
 /// How often the set of sources is looked at without news.
 const REVIEW_PERIOD: time::Duration = time::Duration::from_millis(500);
-/// How long an instance whose source has a newer configuration waits for it before it asks: the own
-/// region's reader mostly tells it sooner.
-const CONFIG_PATIENCE_US: u64 = 600_000;
+/// How long an instance waits for what a source has and it has not before it asks: the own region's reader
+/// mostly tells it sooner.
+const PATIENCE_US: u64 = 400_000;
+/// The longest such time; it doubles while what the source knows and what the instance knows differ.
+const PATIENCE_MAX_US: u64 = 3_200_000;
 /// How long connections to seeds that are no readers are kept.
 const SEED_KEEP_US: u64 = 4_000_000;
 
@@ -124,13 +128,14 @@
 struct Follower<'a> {
     address: net::SocketAddr,
     view: &'a view::View,
-    /// Since when the source is known to have a newer configuration.
-    behind_since_us: Option<u64>,
+    /// What the source has and this instance has not.
+    config_gap: Gap,
+    searchers_gap: Gap,
 }
 
 impl<'a> Follower<'a> {
     fn new(address: net::SocketAddr, view: &'a view::View) -> Self {
-        Self { address, view, behind_since_us: None }
+        Self { address, view, config_gap: Gap::default(), searchers_gap: Gap::default() }
     }
 
     async fn run(&mut self, stream: TcpStream) -> Ended {
@@ -161,30 +166,29 @@
         let mut members_changed = self.view.members_epoch();
         let mut hello = tokio::time::interval(HELLO_PERIOD);
         hello.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let ended = loop {
-            let mut request = None;
+        let ended = 'session: loop {
+            let mut requests = Vec::new();
             tokio::select! {
                 update = received.recv() => match update {
-                    Some(Ok(update)) => request = self.take(update),
-                    Some(Err(ended)) => break ended,
-                    None => break Ended::Silent,
+                    Some(Ok(update)) => requests = self.take(update),
+                    Some(Err(ended)) => break 'session ended,
+                    None => break 'session Ended::Silent,
                 },
-                _ = hello.tick() => request = Some(self.hello()),
+                _ = hello.tick() => requests.push(self.hello()),
                 _ = members_changed.changed() => {
                     let me = self.view.with_members(|members| members.me().clone());
                     if said.as_ref() != Some(&me) {
-                        request = Some(self.hello());
+                        requests.push(self.hello());
                     }
                 },
             }
-            let Some(request) = request else {
-                continue;
-            };
-            if let feed::Request::Hello { member, .. } = &request {
-                said = Some(member.clone());
-            }
-            if let Err(error) = send(&mut codec, &mut write, &request).await {
-                break Ended::Broken(error);
+            for request in &requests {
+                if let feed::Request::Hello { member, .. } = request {
+                    said = Some(member.clone());
+                }
+                if let Err(error) = send(&mut codec, &mut write, request).await {
+                    break 'session Ended::Broken(error);
+                }
             }
         };
         reading.abort();
@@ -197,7 +201,7 @@
     }
 
     /// Takes in an update. Returns what to ask the source for.
-    fn take(&mut self, update: feed::Update) -> Option<feed::Request> {
+    fn take(&mut self, update: feed::Update) -> Vec<feed::Request> {
         match update {
             feed::Update::Searchers(changes) => self.view.apply_searchers(changes, 0),
             feed::Update::Members(members) => {
@@ -209,48 +213,90 @@
             }
             feed::Update::ConfigDelta(delta) => {
                 if delta.version <= self.view.config_version() {
-                    return None;
+                    return Vec::new();
                 }
                 let base = self.view.table().map(|table| table.config.clone());
                 match base.and_then(|base| delta.apply(&base)) {
                     Some(config) => {
                         self.view.offer_config(config, 0);
                     }
-                    None => return Some(feed::Request::SendConfig),
+                    None => return vec![feed::Request::SendConfig],
                 }
             }
-            feed::Update::Pulse { config, searchers_age_us, config_age_us } => {
-                return self.take_pulse(config, searchers_age_us, config_age_us);
+            feed::Update::Pulse { config, searchers, searchers_age_us, config_age_us } => {
+                let mut requests = Vec::new();
+                if self.take_searchers_pulse(searchers, searchers_age_us) {
+                    requests.push(feed::Request::SendSearchers);
+                }
+                if self.take_config_pulse(config, config_age_us) {
+                    requests.push(feed::Request::SendConfig);
+                }
+                return requests;
             }
         }
-        None
+        Vec::new()
     }
 
-    fn take_pulse(
-        &mut self,
-        config: crate::discovery::config::ConfigVersion,
-        searchers_age_us: Option<u64>,
-        config_age_us: Option<u64>,
-    ) -> Option<feed::Request> {
-        if let Some(age_us) = searchers_age_us {
+    /// Notes how fresh the source's searchers are. Returns whether to ask for them.
+    fn take_searchers_pulse(&mut self, digest: registry::Digest, age_us: Option<u64>) -> bool {
+        let Some(age_us) = age_us else {
+            return false;
+        };
+        if digest == self.view.digest() {
+            self.searchers_gap.close();
             self.view.searchers_verified(age_us);
+            return false;
         }
+        let has_none = self.view.ages().searchers_us.is_none();
+        self.searchers_gap.is_due(clock::now_us(), has_none)
+    }
+
+    /// Notes how fresh the source's configuration is. Returns whether to ask for it.
+    fn take_config_pulse(&mut self, version: config::ConfigVersion, age_us: Option<u64>) -> bool {
         let own = self.view.config_version();
-        if config <= own {
-            self.behind_since_us = None;
-            if let Some(age_us) = config_age_us.filter(|_| config == own) {
+        if version <= own {
+            self.config_gap.close();
+            if let Some(age_us) = age_us.filter(|_| version == own) {
                 self.view.config_verified(age_us);
             }
-            return None;
+            return false;
         }
-        let now_us = clock::now_us();
-        let since_us = *self.behind_since_us.get_or_insert(now_us);
-        let has_none = own == Default::default();
-        if !has_none && now_us - since_us < CONFIG_PATIENCE_US {
-            return None;
+        let has_none = own == config::ConfigVersion::default();
+        self.config_gap.is_due(clock::now_us(), has_none)
+    }
+}
+
+/// Something that a source has and this instance has not.
+#[derive(Clone, Copy, Debug)]
+struct Gap {
+    since_us: Option<u64>,
+    patience_us: u64,
+}
+
+impl Default for Gap {
+    fn default() -> Self {
+        Self { since_us: None, patience_us: PATIENCE_US }
+    }
+}
+
+impl Gap {
+    fn close(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Whether to ask the source for it: at once if the instance has nothing at all, else after some time,
+    /// and again after longer and longer times.
+    fn is_due(&mut self, now_us: u64, has_none: bool) -> bool {
+        let since_us = *self.since_us.get_or_insert(now_us);
+        let is_first = since_us == now_us && has_none;
+        if !is_first && now_us - since_us < self.patience_us {
+            return false;
+        }
+        self.since_us = Some(now_us);
+        if !is_first {
+            self.patience_us = (self.patience_us * 2).min(PATIENCE_MAX_US);
         }
-        self.behind_since_us = Some(now_us);
-        Some(feed::Request::SendConfig)
+        true
     }
 }
 
--- a/src/discovery/view.rs
+++ b/src/discovery/view.rs
@@ -27,6 +27,7 @@
 
 struct Inner {
     registry: registry::Registry,
+    digest: registry::Digest,
     members: members::Members,
     /// What subscribers were told of the members last.
     own_word: Vec<members::Member>,
@@ -51,6 +52,7 @@
             table: arc_swap::ArcSwapOption::empty(),
             inner: sync::Mutex::new(Inner {
                 registry: registry::Registry::default(),
+                digest: registry::Registry::default().digest(),
                 members: members::Members::new(me),
                 own_word: Vec::new(),
                 previous_config: None,
@@ -140,6 +142,9 @@
                     news.push(change);
                 }
             }
+            if !news.is_empty() {
+                inner.digest = inner.registry.digest();
+            }
         }
         if news.is_empty() {
             return;
@@ -177,6 +182,11 @@
         }
     }
 
+    /// The digest of the searchers.
+    pub fn digest(&self) -> registry::Digest {
+        locks::lock(&self.inner).digest
+    }
+
     /// Looks at the searchers.
     pub fn with_registry<T>(&self, look: impl FnOnce(&registry::Registry) -> T) -> T {
         look(&locks::lock(&self.inner).registry)
--- a/tests/forward_load.rs
+++ b/tests/forward_load.rs
@@ -35,6 +35,10 @@
 /// Which searchers are in which mood: by searcher, shard and time since the start.
 type Moods = fn(replica: usize, shard: usize, at_us: u64) -> Mood;
 
+/// What happens when, to which query: the end of a send (its number, whether it was answered), or a look at
+/// the clock.
+type Events = BinaryHeap<Reverse<(u64, usize, Option<(usize, bool)>)>>;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Policy {
     Ours,
@@ -57,8 +61,7 @@
     let mut world = World::new(&SHARDS);
     let mut tally = Tally { asked: count, ..Tally::default() };
     let mut queries: Vec<Option<query::Query>> = Vec::new();
-    // What happens when: the end of a send, or a look at the clock.
-    let mut events: BinaryHeap<Reverse<(u64, usize, Option<(usize, bool)>)>> = BinaryHeap::new();
+    let mut events = Events::new();
     let mut tickets: Vec<Vec<(query::Send, u64)>> = Vec::new();
     // When each slot of each searcher is free, by shard and replica.
     let mut slots = vec![[[0_u64; SLOTS]; 3]; SHARDS.len()];
@@ -165,7 +168,7 @@
     sends: Vec<query::Send>,
     now_us: u64,
     at: usize,
-    events: &mut BinaryHeap<Reverse<(u64, usize, Option<(usize, bool)>)>>,
+    events: &mut Events,
     tickets: &mut [Vec<(query::Send, u64)>],
     slots: &mut [[[u64; SLOTS]; 3]],
     moods: Moods,
