--- a/src/forward/board.rs
+++ b/src/forward/board.rs
@@ -173,7 +173,7 @@
     pub active: u32,
     /// Those in the own region.
     pub active_near: u32,
-    /// Whether this instance is one of them.
+    /// Whether this instance is one of them, or was until it began to stop: clients still hold its address.
     pub is_active: bool,
 }
 
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -2,6 +2,7 @@
 
 use crate::clock;
 use crate::discovery::config;
+use crate::discovery::members;
 use crate::discovery::view;
 use crate::event;
 use crate::events::Event;
@@ -142,11 +143,12 @@
         let table = self.view.table();
         let config = table.as_ref().map(|table| &*table.config);
         let (active, crowd) = self.view.with_members(|members| {
+            let me = members.me();
             let active = address::Active::pick(&members.live(), config);
             let crowd = board::Crowd {
                 active: active.count() as u32,
-                active_near: active.count_in(&members.me().region) as u32,
-                is_active: active.contains(members.me()),
+                active_near: active.count_in(&me.region) as u32,
+                is_active: active.contains(me) || me.state == members::MemberState::Draining,
             };
             (active, crowd)
         });
