Read over: one type for a searcher's state, one call in the load tests, a line that nothing needs

Cause: registry::Record had the fields of SearcherChange and was copied into it; the load tests made their sends in three places and passed a world that was not used; the reader kept two variables for a debug line. Change: one type, one call. Behaviour and assertions are as they were.

--- a/src/discovery/publisher.rs
+++ b/src/discovery/publisher.rs
@@ -171,7 +171,7 @@
     }
 
     async fn send_searchers(&mut self) -> Result<(), frame::FrameError> {
-        let changes = self.view.with_registry(|registry| registry.changes());
+        let changes = self.view.with_registry(|registry| registry.records().to_vec());
         self.send(&feed::Update::Searchers(changes)).await
     }
 
--- a/src/discovery/reader.rs
+++ b/src/discovery/reader.rs
@@ -182,17 +182,12 @@
                     self.answered(Call::Config);
                     let age_us = clock::now_us() - started_us;
                     let is_first = after.is_none();
-                    let has_config = read.config.is_some();
                     after = Some(read.as_of);
                     if let Some(config) = read.config {
                         self.view.offer_config(config, age_us);
                     }
-                    // A watch that returns without news proves the state at its end; a first read without
-                    // a configuration means that the operator has not written one yet.
+                    // A watch that returns without news proves the state at its end.
                     self.view.config_verified(if is_first { age_us } else { 0 });
-                    if is_first && !has_config {
-                        tracing::debug!("no configuration in the store yet");
-                    }
                 }
                 Err(source::SourceError::HistoryLost) => after = None,
                 Err(error) => {
@@ -245,7 +240,7 @@
     async fn read_all(&self) -> Result<source::SearchersRead, source::SourceError> {
         let mut read = self.store.read_searchers().await?;
         read.changes.sort_by(|a, b| a.id.cmp(&b.id));
-        let known = self.view.with_registry(|registry| registry.changes());
+        let known = self.view.with_registry(|registry| registry.records().to_vec());
         for record in known {
             let is_there =
                 read.changes.binary_search_by(|change| change.id.cmp(&record.id)).is_ok();
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -71,7 +71,7 @@
     pub born_ms: u64,
 }
 
-/// What a report says of an id.
+/// The state of an id at a revision: what a report says of it, and what the registry holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SearcherChange {
     /// The searcher's id.
@@ -82,34 +82,16 @@
     pub searcher: Option<Searcher>,
 }
 
-/// What the registry holds of one id.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Record {
-    /// The searcher's id.
-    pub id: CompactString,
-    /// The store's revision of this state.
-    pub revision: StoreRevision,
-    /// The searcher, or `None` if it is gone.
-    pub searcher: Option<Searcher>,
-}
-
 /// Tells two registries apart that do not hold the same searchers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Digest(pub u64);
 
-impl Hash for Record {
-    fn hash<H: std::hash::Hasher>(&self, state: &mut H) {
-        self.id.hash(state);
-        self.searcher.hash(state);
-    }
-}
-
 /// All searchers known.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     /// Sorted by id.
-    records: Vec<Record>,
+    records: Vec<SearcherChange>,
 }
 
 impl Registry {
@@ -130,48 +112,31 @@
                 true
             }
             Err(at) => {
-                let record = Record {
-                    id: change.id.clone(),
-                    revision: change.revision,
-                    searcher: change.searcher.clone(),
-                };
-                let changed = record.searcher.is_some();
-                self.records.insert(at, record);
+                let changed = change.searcher.is_some();
+                self.records.insert(at, change.clone());
                 changed
             }
         }
     }
 
     /// The record of an id.
-    pub fn get(&self, id: &str) -> Option<&Record> {
+    pub fn get(&self, id: &str) -> Option<&SearcherChange> {
         let at = self.records.binary_search_by(|record| record.id.as_str().cmp(id)).ok()?;
         self.records.get(at)
     }
 
     /// All records, sorted by id.
-    pub fn records(&self) -> &[Record] {
+    pub fn records(&self) -> &[SearcherChange] {
         &self.records
     }
 
-    /// All records as reports.
-    pub fn changes(&self) -> Vec<SearcherChange> {
-        let mut changes = Vec::with_capacity(self.records.len());
-        for record in &self.records {
-            changes.push(SearcherChange {
-                id: record.id.clone(),
-                revision: record.revision,
-                searcher: record.searcher.clone(),
-            });
-        }
-        changes
-    }
-
     /// The digest of the searchers, without revisions: they differ between readers with each heartbeat.
     pub fn digest(&self) -> Digest {
         let mut hasher = xxh3::Xxh3::new();
         for record in &self.records {
             if record.searcher.is_some() {
-                record.hash(&mut hasher);
+                record.id.hash(&mut hasher);
+                record.searcher.hash(&mut hasher);
             }
         }
         Digest(hasher.finish())
--- a/src/forward/board.rs
+++ b/src/forward/board.rs
@@ -187,7 +187,7 @@
     pub fn sync(
         &mut self,
         now_us: u64,
-        records: &[registry::Record],
+        records: &[registry::SearcherChange],
         distance: impl Fn(&str) -> link::Distance,
         connections_max: impl Fn(&ids::ServiceName) -> u32,
     ) {
--- a/tests/forward_load.rs
+++ b/tests/forward_load.rs
@@ -70,26 +70,13 @@
         events.push(Reverse((START_US + at as u64 * gap_us, at, None)));
     }
     while let Some(Reverse((now_us, at, end))) = events.pop() {
-        if at == queries.len() {
+        let sends = if at == queries.len() {
             let attempts = if policy == Policy::Plain { 1 } else { 2 };
             let ask = query::Ask { arrived_us: now_us, attempts, ..gather(&SHARDS, 9) };
             queries.push(Some(query::Query::new(ask)));
             tickets.push(Vec::new());
             let mut desk = world.desk();
-            let sends = queries[at].as_mut().unwrap().start(now_us, &mut desk);
-            make(
-                policy,
-                &mut world,
-                sends,
-                now_us,
-                at,
-                &mut events,
-                &mut tickets,
-                &mut slots,
-                moods,
-                &mut random,
-                &mut tally,
-            );
+            queries[at].as_mut().unwrap().start(now_us, &mut desk)
         } else if let Some((number, is_good)) = end {
             let (send, sent_us) = &tickets[at][number];
             let latency_us = now_us - sent_us;
@@ -109,39 +96,30 @@
                     latency_us - send.choice.link.distance.round_trip_us().min(latency_us);
                 world.latencies.record("browse", work_us);
             }
-            if let Some(query) = queries[at].as_mut() {
-                let outcome = if is_good { answer(200) } else { query::Outcome::NotRun };
-                let sends = query.ended(now_us, &mut world.desk(), number, outcome);
-                make(
-                    policy,
-                    &mut world,
-                    sends,
-                    now_us,
-                    at,
-                    &mut events,
-                    &mut tickets,
-                    &mut slots,
-                    moods,
-                    &mut random,
-                    &mut tally,
-                );
+            match queries[at].as_mut() {
+                Some(query) => {
+                    let outcome = if is_good { answer(200) } else { query::Outcome::NotRun };
+                    query.ended(now_us, &mut world.desk(), number, outcome)
+                }
+                None => Vec::new(),
             }
         } else if let Some(query) = queries[at].as_mut() {
-            let sends = query.tick(now_us, &mut world.desk());
-            make(
-                policy,
-                &mut world,
-                sends,
-                now_us,
-                at,
-                &mut events,
-                &mut tickets,
-                &mut slots,
-                moods,
-                &mut random,
-                &mut tally,
-            );
-        }
+            query.tick(now_us, &mut world.desk())
+        } else {
+            Vec::new()
+        };
+        make(
+            policy,
+            sends,
+            now_us,
+            at,
+            &mut events,
+            &mut tickets,
+            &mut slots,
+            moods,
+            &mut random,
+            &mut tally,
+        );
         let Some(query) = queries[at].as_mut() else {
             continue;
         };
@@ -164,7 +142,6 @@
 #[expect(clippy::too_many_arguments, reason = "the state of one small simulation")]
 fn make(
     policy: Policy,
-    world: &mut World,
     sends: Vec<query::Send>,
     now_us: u64,
     at: usize,
@@ -207,7 +184,6 @@
             *slot = end_us;
             events.push(Reverse((end_us + round_trip_us, at, Some((send.number, true)))));
         }
-        let _ = world;
         tickets[at].push((send, now_us));
     }
 }
--- a/tests/forward_registry.rs
+++ b/tests/forward_registry.rs
@@ -37,7 +37,7 @@
             let id = format!("i-{}", id % 5);
             registry.apply(&change(&id, u64::from(*revision) + 1, *is_there));
         }
-        registry.changes()
+        registry.records().to_vec()
     }
 
     quickcheck(holds as fn(Vec<(u8, u16, bool)>, u64) -> bool);
--- a/tests/forward_support/mod.rs
+++ b/tests/forward_support/mod.rs
@@ -32,8 +32,8 @@
     }
 }
 
-pub fn record(id: &str, searcher: registry::Searcher) -> registry::Record {
-    registry::Record {
+pub fn record(id: &str, searcher: registry::Searcher) -> registry::SearcherChange {
+    registry::SearcherChange {
         id: id.into(),
         revision: registry::StoreRevision(1),
         searcher: Some(searcher),
