Searchers that lose answers are left for seconds

Change: the share of lost answers has its own memory, half-life 3 s, and costs 200 ms times the share.

--- a/src/forward/board.rs
+++ b/src/forward/board.rs
@@ -15,8 +15,14 @@
 const FAILURE_GAIN: f64 = 0.25;
 /// The time in which an observation loses half of its weight.
 const HALF_LIFE_US: f64 = 700_000.0;
-/// What a failed send costs beside the second send, in latency.
+/// The time in which the share of lost answers that was observed of a searcher loses half of its weight. A
+/// searcher that loses answers goes on for seconds, unlike one that pauses.
+const LOSS_HALF_LIFE_US: f64 = 3_000_000.0;
+/// What a rejected or unanswered send costs beside the second send, in latency.
 const FAILURE_COST_US: f64 = 80_000.0;
+/// What a lost answer costs beside the second send, in latency: the budget of second sends is short when
+/// answers are lost, and without one the whole query may fail.
+const LOSS_COST_US: f64 = 200_000.0;
 /// A request that is unanswered for this many times its expected latency makes its searcher suspect.
 const STALL_FACTOR: f64 = 2.5;
 /// What is added to that before the searcher is suspect.
@@ -70,6 +76,9 @@
     slowness: f64,
     failure_rate: f64,
     updated_us: u64,
+    /// The share of answers that were lost.
+    loss_rate: f64,
+    loss_updated_us: u64,
     avoid_until_us: u64,
     avoid_us: u64,
     /// When each send that is under way began.
@@ -83,6 +92,8 @@
             slowness: COLD_SLOWNESS,
             failure_rate: 0.0,
             updated_us: now_us,
+            loss_rate: 0.0,
+            loss_updated_us: now_us,
             avoid_until_us: 0,
             avoid_us: AVOID_MIN_US,
             in_flight: Vec::new(),
@@ -96,6 +107,18 @@
         (-age_us / HALF_LIFE_US).exp2()
     }
 
+    fn loss_rate(&self, now_us: u64) -> f64 {
+        let age_us = now_us.saturating_sub(self.loss_updated_us) as f64;
+        self.loss_rate * (-age_us / LOSS_HALF_LIFE_US).exp2()
+    }
+
+    fn observe_loss(&mut self, now_us: u64, is_lost: bool) {
+        let rate = self.loss_rate(now_us);
+        let sample = if is_lost { 1.0 } else { 0.0 };
+        self.loss_rate = rate + (sample - rate) * FAILURE_GAIN;
+        self.loss_updated_us = now_us;
+    }
+
     fn slowness(&self, now_us: u64) -> f64 {
         1.0 + (self.slowness - 1.0) * self.kept(now_us)
     }
@@ -309,10 +332,11 @@
         match report {
             Report::Answered { latency_us } => {
                 stats.observe(now_us, Some(slowness(latency_us)), false);
+                stats.observe_loss(now_us, false);
                 stats.avoid_us = AVOID_MIN_US;
                 stats.avoid_until_us = 0;
             }
-            Report::Failed => stats.observe(now_us, None, true),
+            Report::Failed => stats.observe_loss(now_us, true),
             Report::Full => {
                 stats.observe(now_us, None, true);
                 stats.avoid_until_us = stats.avoid_until_us.max(now_us + FULL_AVOID_US);
@@ -376,7 +400,10 @@
                 expected_us += age_us.clamp(STALL_MAX_US / 3.0, STALL_MAX_US);
             }
         }
-        expected_us + stats.failure_rate(now_us) * (FAILURE_COST_US + typical_us as f64)
+        let typical_us = typical_us as f64;
+        expected_us
+            + stats.failure_rate(now_us) * (FAILURE_COST_US + typical_us)
+            + stats.loss_rate(now_us) * (LOSS_COST_US + typical_us)
     }
 
     fn of_service(&self, service: &ids::ServiceName) -> impl Iterator<Item = &Entry> {
--- a/tests/forward_load.rs
+++ b/tests/forward_load.rs
@@ -30,14 +30,23 @@
     Silent,
     /// Rejects everything.
     Full,
+    /// Loses the answers of four in ten requests.
+    Lossy,
+}
+
+/// How a send ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum End {
+    Answered,
+    Rejected,
+    Lost,
 }
 
 /// Which searchers are in which mood: by searcher, shard and time since the start.
 type Moods = fn(replica: usize, shard: usize, at_us: u64) -> Mood;
 
-/// What happens when, to which query: the end of a send (its number, whether it was answered), or a look at
-/// the clock.
-type Events = BinaryHeap<Reverse<(u64, usize, Option<(usize, bool)>)>>;
+/// What happens when, to which query: the end of a send with its number, or a look at the clock.
+type Events = BinaryHeap<Reverse<(u64, usize, Option<(usize, End)>)>>;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Policy {
@@ -54,6 +63,7 @@
     answered: usize,
     sends: usize,
     far_sends: usize,
+    lost: usize,
 }
 
 /// Plays `count` gathers, one each `gap_us`, and counts how they end.
@@ -77,12 +87,13 @@
             tickets.push(Vec::new());
             let mut desk = world.desk();
             queries[at].as_mut().unwrap().start(now_us, &mut desk)
-        } else if let Some((number, is_good)) = end {
+        } else if let Some((number, end)) = end {
             let (send, sent_us) = &tickets[at][number];
             let latency_us = now_us - sent_us;
-            let report = match is_good {
-                true => board::Report::Answered { latency_us },
-                false => board::Report::Full,
+            let report = match end {
+                End::Answered => board::Report::Answered { latency_us },
+                End::Rejected => board::Report::Full,
+                End::Lost => board::Report::Failed,
             };
             world.board.done(
                 now_us,
@@ -91,14 +102,18 @@
                 send.typical_us,
                 report,
             );
-            if is_good && send.choice.link.distance != link::Distance::OtherRegion {
+            if end == End::Answered && send.choice.link.distance != link::Distance::OtherRegion {
                 let work_us =
                     latency_us - send.choice.link.distance.round_trip_us().min(latency_us);
                 world.latencies.record("browse", work_us);
             }
             match queries[at].as_mut() {
                 Some(query) => {
-                    let outcome = if is_good { answer(200) } else { query::Outcome::NotRun };
+                    let outcome = match end {
+                        End::Answered => answer(200),
+                        End::Rejected => query::Outcome::NotRun,
+                        End::Lost => query::Outcome::Lost,
+                    };
                     query.ended(now_us, &mut world.desk(), number, outcome)
                 }
                 None => Vec::new(),
@@ -169,20 +184,28 @@
         let work_us = WORK_US * (67 + (*random >> 40) % 67) / 100;
         let slot = slots[shard][replica].iter_mut().min().unwrap();
         let begin_us = (*slot).max(now_us);
-        let end_us = match moods(replica, shard, since_us) {
-            Mood::Well => Some(begin_us + work_us),
+        let mood = moods(replica, shard, since_us);
+        let end_us = match mood {
+            Mood::Well | Mood::Lossy => Some(begin_us + work_us),
             Mood::Slow(times) => Some(begin_us + work_us * times),
             Mood::PausedUntil(until_us) => Some(begin_us.max(START_US + until_us) + work_us),
             Mood::Silent => None,
             Mood::Full => {
-                events.push(Reverse((now_us + round_trip_us, at, Some((send.number, false)))));
+                events.push(Reverse((
+                    now_us + round_trip_us,
+                    at,
+                    Some((send.number, End::Rejected)),
+                )));
                 tickets[at].push((send, now_us));
                 continue;
             }
         };
         if let Some(end_us) = end_us {
             *slot = end_us;
-            events.push(Reverse((end_us + round_trip_us, at, Some((send.number, true)))));
+            let is_lost = mood == Mood::Lossy && (*random >> 50) % 10 < 4;
+            let end = if is_lost { End::Lost } else { End::Answered };
+            tally.lost += usize::from(is_lost);
+            events.push(Reverse((end_us + round_trip_us, at, Some((send.number, end)))));
         }
         tickets[at].push((send, now_us));
     }
@@ -262,3 +285,19 @@
     assert_eq!(ours.whole_in_time, ours.asked);
     assert!(share(ours.far_sends, ours.sends) <= 50, "{ours:?}");
 }
+
+/// The pattern: half of the searchers of all shards lose the answers of four in ten requests that they have
+/// run, for four seconds. Each lost answer costs a second send, and two parts without one the whole query.
+#[test]
+fn searchers_that_lose_answers_are_left_for_seconds() {
+    let moods: Moods = |replica, shard, at_us| {
+        let is_lossy = (replica + shard) % 2 == 0 && (2_000_000..6_000_000).contains(&at_us);
+        if is_lossy { Mood::Lossy } else { Mood::Well }
+    };
+    let ours = play(Policy::Ours, moods, 800, 12_000);
+    let plain = play(Policy::Plain, moods, 800, 12_000);
+    println!("ours {ours:?}\nplain {plain:?}");
+    assert!(share(ours.in_time, ours.asked) >= 980, "{ours:?}");
+    assert!(share(ours.lost, ours.sends) <= 20, "{ours:?}");
+    assert!(ours.whole_in_time > plain.whole_in_time);
+}
