Clients of an instance that knows no configuration come back later the longer it has waited

Change: forward/retry_after.rs: as long as the instance has been waiting, 0.3 to 3 s, spread by a quarter.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -15,4 +15,5 @@
 pub mod metrics;
 pub mod patience;
 pub mod query;
+pub mod retry_after;
 pub mod run;
--- a/src/forward/door.rs
+++ b/src/forward/door.rs
@@ -10,6 +10,7 @@
 use crate::forward::dialect;
 use crate::forward::merge;
 use crate::forward::query;
+use crate::forward::retry_after;
 use crate::forward::run;
 use crate::ids;
 use crate::rate_limit;
@@ -32,8 +33,6 @@
 /// How long clients may keep the answer to where to connect. Some keep it three times as long, which has
 /// to be over before an instance that stops is gone.
 const ADDRESS_TTL_S: f64 = 1.0;
-/// When a client may come back to an instance that knows no configuration yet.
-const RETRY_AFTER_UNREADY_MS: u64 = 500;
 /// The idle timeout of a client's connection while no configuration is known.
 const IDLE_TIMEOUT_DEFAULT_MS: u64 = 15_000;
 /// The longest body while no configuration is known.
@@ -66,6 +65,7 @@
     view: sync::Arc<view::View>,
     forwarder: sync::Arc<run::Forwarder>,
     phase: watch::Sender<Phase>,
+    started_us: u64,
     open_count: atomic::AtomicUsize,
     served_lines: rate_limit::RateLimit,
     troubled_lines: rate_limit::RateLimit,
@@ -92,6 +92,7 @@
             view,
             forwarder,
             phase: watch::Sender::new(Phase::Serving),
+            started_us: clock::now_us(),
             open_count: atomic::AtomicUsize::new(0),
             served_lines: rate_limit::RateLimit::new(SERVED_LINES_PER_S),
             troubled_lines: rate_limit::RateLimit::new(TROUBLED_LINES_PER_S),
@@ -167,7 +168,7 @@
     ) -> Result<Response, Unreadable> {
         let arrived_us = clock::now_us();
         let Some(table) = self.view.table().filter(|_| self.view.is_complete()) else {
-            return Ok(self.closing(refuse(RETRY_AFTER_UNREADY_MS)));
+            return Ok(self.closing(self.refuse_unready()));
         };
         let names = &self.forwarder.dialect().headers;
         let (head, body) = request.into_parts();
@@ -229,6 +230,12 @@
         Ok(self.closing(response))
     }
 
+    /// Refuses a client's call: the configuration and the searchers are not known yet.
+    fn refuse_unready(&self) -> Response {
+        let waiting_us = clock::now_us().saturating_sub(self.started_us);
+        refuse(retry_after::unready_ms(waiting_us))
+    }
+
     /// An answer that is the connection's last one while the instance stops.
     fn closing(&self, mut response: Response) -> Response {
         if *self.phase.borrow() != Phase::Serving {
@@ -325,7 +332,7 @@
         };
         let addresses = self.forwarder.active().addresses(&call.region);
         if addresses.is_empty() {
-            return refuse(RETRY_AFTER_UNREADY_MS);
+            return self.refuse_unready();
         }
         let reply = dialect::DirectoryReply { addresses, ttl_s: ADDRESS_TTL_S };
         let mut response = Response::new(Full::new((dialect.write_directory)(&reply)));
--- /dev/null
+++ b/tests/forward_retry_after.rs
@@ -0,0 +1,21 @@
+//! When clients may come back that were refused.
+
+use tarragondoor::forward::retry_after;
+
+/// The pattern: all instances start at once while the platform is down. The clients of the first moments
+/// find an instance that is about to be ready; those of an outage had better not spend their last attempt.
+#[test]
+fn clients_come_back_later_the_longer_the_outage_has_lasted() {
+    let cases = [(0, 300), (200, 300), (1_000, 1_000), (2_500, 2_500), (60_000, 3_000)];
+    for (waiting_ms, expected_ms) in cases {
+        let mut times_ms: Vec<u64> =
+            (0..100).map(|_| retry_after::unready_ms(waiting_ms * 1_000)).collect();
+        times_ms.sort_unstable();
+        let (first_ms, last_ms) = (times_ms[0], times_ms[99]);
+        assert!(first_ms >= expected_ms * 3 / 4 && last_ms <= expected_ms * 5 / 4, "{times_ms:?}");
+        assert!(
+            last_ms - first_ms > expected_ms / 4,
+            "they don't come back together: {times_ms:?}"
+        );
+    }
+}
