Seeds follow the settings file while an instance runs

Cause: an instance whose seeds are all gone when it starts is not known to the others until it is restarted: it tries the same addresses for ever. The platform refreshes the settings file, with or without SIGHUP, but nothing read it again.

--- a/src/discovery/subscriber.rs
+++ b/src/discovery/subscriber.rs
@@ -13,6 +13,7 @@
 use std::sync;
 use std::time;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task;
 
 /// The longest silence of a source: two pulses and some.
@@ -34,8 +35,8 @@
 const SEED_KEEP_US: u64 = 4_000_000;
 
 /// Keeps connections to all sources until the process ends. `seeds` are control addresses of instances
-/// that may or may not be there.
-pub async fn run(view: sync::Arc<view::View>, seeds: Vec<net::SocketAddr>) {
+/// that may or may not be there, as the settings name them at the time.
+pub async fn run(view: sync::Arc<view::View>, seeds: watch::Receiver<Vec<net::SocketAddr>>) {
     let started_us = clock::now_us();
     let mut sources: Vec<(net::SocketAddr, task::JoinHandle<()>)> = Vec::new();
     let mut members_changed = view.members_epoch();
@@ -44,7 +45,7 @@
             members.expire(clock::now_us());
             false
         });
-        let wanted = wanted(&view, &seeds, clock::now_us() - started_us);
+        let wanted = wanted(&view, &seeds.borrow(), clock::now_us() - started_us);
         sources.retain(|(address, task)| {
             let keep = wanted.contains(address);
             if !keep {
--- a/src/events.rs
+++ b/src/events.rs
@@ -37,7 +37,7 @@
     /// The duty of the settings' spread could not start.
     SpreadStopped = 305,
     /// The instance's start-up settings were read again and nothing in them has to be taken over.
-    SettingsUnchanged = 306,
+    SettingsReloaded = 306,
     /// A configuration came into force.
     ConfigInForce = 400,
     /// A searcher is new, changed its state or is gone.
--- a/src/node.rs
+++ b/src/node.rs
@@ -21,6 +21,7 @@
 use std::time;
 use tokio::net::TcpListener;
 use tokio::signal::unix;
+use tokio::sync::watch;
 
 /// What an instance is told at its start.
 pub struct Settings {
@@ -28,7 +29,7 @@
     pub me: members::Member,
     /// Where it listens.
     pub listen: Listen,
-    /// Control addresses of some instances, which may be out of date.
+    /// Control addresses of some instances at the start, which may be out of date.
     pub seeds: Vec<net::SocketAddr>,
     /// Whether the whole system starts for the first time.
     pub is_first_start: bool,
@@ -78,19 +79,19 @@
 /// How often an instance looks whether it is ready.
 const READY_PERIOD: time::Duration = time::Duration::from_millis(50);
 
-/// Runs an instance until it is told to stop.
+/// Runs an instance until it is told to stop. `seeds` follows the control addresses of the settings.
 ///
 /// # Errors
 ///
 /// When it can't listen or wait for signals.
 pub async fn run(
     settings: Settings,
+    seeds: watch::Receiver<Vec<net::SocketAddr>>,
     dialect: dialect::Dialect,
     store: impl source::Source,
 ) -> Result<(), error_stack::Report<NodeError>> {
     let mut terminate =
         unix::signal(unix::SignalKind::terminate()).change_context(NodeError::Signals)?;
-    let mut hangup = unix::signal(unix::SignalKind::hangup()).change_context(NodeError::Signals)?;
     let name = settings.me.name.clone();
     event!(
         info,
@@ -138,16 +139,11 @@
         metrics,
     );
     tokio::spawn(reader.run());
-    tokio::spawn(subscriber::run(view.clone(), settings.seeds));
+    tokio::spawn(subscriber::run(view.clone(), seeds));
     tokio::spawn(async move { forwarder.follow_view().await });
     let readiness = tokio::spawn(watch_readiness(view.clone()));
 
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hangup.recv() => event!(info, Event::SettingsUnchanged, instance = %name),
-        }
-    }
+    terminate.recv().await;
     readiness.abort();
     stop(&view, &door, settings.grace).await;
     event!(info, Event::InstanceStopped, instance = %name, open_connections = door.open_count());
