A new connection that is reset leaves the idle ones open

Change: only a connection that was idle says something of the others that are. platform/tests/instance.rs a_new_connection_that_is_reset_leaves_the_idle_ones_open fails before (three connections) and passes after (two).

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -121,7 +121,10 @@
     let response = match connection.sender.try_send_request(request).await {
         Ok(response) => response,
         Err(mut error) => {
-            link.close_idle();
+            if connection.is_reused {
+                // The others were idle beside it, and are likely to be dead as well.
+                link.close_idle();
+            }
             if error.take_message().is_none() {
                 return Ended::lost(error.into_error().to_string());
             }
