The servers of an instance in modules by job; a settings file that can't be used has an event of its own

forward/door.rs had 600 lines: it is server.rs (connections, phases of a stop), response.rs (what clients get) and header.rs (what is passed on) now. What the decisions look at is a Context and not a desk. No behaviour changes.

--- a/src/events.rs
+++ b/src/events.rs
@@ -36,8 +36,10 @@
     PlatformFailed = 304,
     /// The duty of the settings' spread could not start.
     SpreadStopped = 305,
-    /// The instance's start-up settings were read again and nothing in them has to be taken over.
+    /// The settings file was read again.
     SettingsReloaded = 306,
+    /// The settings file was read again and can't be used.
+    SettingsUnusable = 307,
     /// A configuration came into force.
     ConfigInForce = 400,
     /// A searcher is new, changed its state or is gone.
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -1,6 +1,6 @@
 //! How a request gets from a client to the searchers and its answer back.
 //!
-//! [`door`] takes the request, [`query`] decides which searchers get it and when it is answered, [`board`]
+//! [`server`] takes the request, [`query`] decides which searchers get it and when it is answered, [`board`]
 //! holds what is observed of the searchers, [`budget`] limits second sends, and [`attempt`] makes one send.
 
 pub mod address;
@@ -8,12 +8,14 @@
 pub mod board;
 pub mod budget;
 pub mod dialect;
-pub mod door;
+pub mod header;
 pub mod latency;
 pub mod link;
 pub mod merge;
 pub mod metrics;
 pub mod patience;
 pub mod query;
+pub mod response;
 pub mod retry_after;
 pub mod run;
+pub mod server;
--- a/src/forward/query.rs
+++ b/src/forward/query.rs
@@ -121,7 +121,7 @@
 }
 
 /// What the decisions look at.
-pub struct Desk<'a> {
+pub struct Context<'a> {
     /// The searchers.
     pub board: &'a mut board::Board,
     /// The budgets of second sends.
@@ -261,11 +261,11 @@
     }
 
     /// Begins: a send for each part, if enough of them have searchers at all.
-    pub fn start(&mut self, now_us: u64, desk: &mut Desk<'_>) -> Vec<Send> {
+    pub fn start(&mut self, now_us: u64, context: &mut Context<'_>) -> Vec<Send> {
         let mut served = 0;
         for service in &self.ask.services {
-            desk.budgets.requested(now_us, service);
-            served += usize::from(desk.board.has_any(service));
+            context.budgets.requested(now_us, service);
+            served += usize::from(context.board.has_any(service));
         }
         if served < self.ask.parts_min {
             for part in &mut self.parts {
@@ -275,7 +275,7 @@
         }
         let mut sends = Vec::with_capacity(self.parts.len());
         for at in 0..self.parts.len() {
-            sends.extend(self.send_or_wait(now_us, desk, at, Reason::First));
+            sends.extend(self.send_or_wait(now_us, context, at, Reason::First));
         }
         sends
     }
@@ -284,7 +284,7 @@
     pub fn ended(
         &mut self,
         now_us: u64,
-        desk: &mut Desk<'_>,
+        context: &mut Context<'_>,
         number: usize,
         outcome: Outcome,
     ) -> Vec<Send> {
@@ -333,7 +333,7 @@
             return Vec::new();
         }
         let reason = if is_unsent { Reason::Reconnect } else { Reason::Retry };
-        self.send_or_wait(now_us, desk, at, reason).into_iter().collect()
+        self.send_or_wait(now_us, context, at, reason).into_iter().collect()
     }
 
     /// Sends a part that has nothing under way, or lets it wait while all searchers are busy with as many
@@ -341,11 +341,11 @@
     fn send_or_wait(
         &mut self,
         now_us: u64,
-        desk: &mut Desk<'_>,
+        context: &mut Context<'_>,
         at: usize,
         reason: Reason,
     ) -> Option<Send> {
-        match self.send(now_us, desk, at, reason) {
+        match self.send(now_us, context, at, reason) {
             Ok(send) => return Some(send),
             Err(PartFailure::Busy) if now_us < self.wait_until_us() => {
                 self.parts[at].waiting = Some(reason);
@@ -356,11 +356,11 @@
     }
 
     /// Looks at the time. Returns the hedges that are due.
-    pub fn tick(&mut self, now_us: u64, desk: &mut Desk<'_>) -> Vec<Send> {
+    pub fn tick(&mut self, now_us: u64, context: &mut Context<'_>) -> Vec<Send> {
         let mut sends = Vec::new();
         for at in 0..self.parts.len() {
             if let Some(reason) = self.parts[at].waiting.take() {
-                sends.extend(self.send_or_wait(now_us, desk, at, reason));
+                sends.extend(self.send_or_wait(now_us, context, at, reason));
                 continue;
             }
             let part = &mut self.parts[at];
@@ -377,7 +377,7 @@
             if !may_send {
                 continue;
             }
-            match self.send(now_us, desk, at, Reason::Hedge) {
+            match self.send(now_us, context, at, Reason::Hedge) {
                 Ok(send) => sends.push(send),
                 Err(failure) => {
                     self.parts[at].hedge_at_us = Some(now_us + HEDGE_AGAIN_US);
@@ -462,11 +462,11 @@
     fn send(
         &mut self,
         now_us: u64,
-        desk: &mut Desk<'_>,
+        context: &mut Context<'_>,
         at: usize,
         reason: Reason,
     ) -> Result<Send, PartFailure> {
-        let typical_us = desk.latencies.median_us(&self.ask.route);
+        let typical_us = context.latencies.median_us(&self.ask.route);
         let part = &mut self.parts[at];
         let detour_us = match reason {
             Reason::First => self.ask.target_us / DETOUR_SHARE,
@@ -474,17 +474,17 @@
         };
         let work = board::Work { typical_us, detour_us };
         let service = &self.ask.services[at];
-        let found = desk.board.find(now_us, service, &part.tried, work);
+        let found = context.board.find(now_us, service, &part.tried, work);
         let found = match found {
             Some(found) => found,
-            None if desk.board.is_busy(service, &part.tried) => return Err(PartFailure::Busy),
+            None if context.board.is_busy(service, &part.tried) => return Err(PartFailure::Busy),
             None => return Err(PartFailure::NoSearcher),
         };
         let is_extra = matches!(reason, Reason::Hedge | Reason::Retry);
-        if is_extra && !desk.budgets.spend(now_us, service, self.ask.priority) {
+        if is_extra && !context.budgets.spend(now_us, service, self.ask.priority) {
             return Err(PartFailure::NoBudget);
         }
-        let choice = desk.board.take(now_us, found);
+        let choice = context.board.take(now_us, found);
         part.tried.push(choice.link.id.clone());
         part.running += 1;
         part.offered += 1;
--- /dev/null
+++ b/src/forward/response.rs
@@ -0,0 +1,75 @@
+//! The answers that clients get.
+
+use crate::discovery::config;
+use crate::forward::dialect;
+use crate::forward::header;
+use crate::forward::merge;
+use crate::forward::query;
+use bytes::Bytes;
+use http_body_util::Full;
+
+/// An answer to a client.
+pub type Response = http::Response<Full<Bytes>>;
+
+/// The greatest records of the parts that are in, and which parts those are.
+pub fn gathered(
+    parts: &[Option<query::Answer>],
+    route: &config::Route,
+    names: &dialect::Headers,
+) -> Response {
+    let config::Target::Gather(gather) = &route.target else {
+        return status(http::StatusCode::BAD_GATEWAY);
+    };
+    let answers: Vec<&query::Answer> = parts.iter().flatten().collect();
+    let bodies = answers.iter().map(|answer| &answer.body);
+    let body = merge::top_records(bodies, gather.top_count as usize);
+    let mut response = Response::new(Full::new(body));
+    let stamps: Vec<&[u8]> = answers
+        .iter()
+        .filter_map(|answer| answer.stamp.as_ref())
+        .map(http::HeaderValue::as_bytes)
+        .collect();
+    let Ok(stamps) = http::HeaderValue::from_bytes(&stamps.join(&b", "[..])) else {
+        return status(http::StatusCode::BAD_GATEWAY);
+    };
+    let headers = response.headers_mut();
+    headers.insert(names.part_stamps.clone(), stamps);
+    headers.insert(names.missing_parts.clone(), (parts.len() - answers.len()).into());
+    response
+}
+
+/// A searcher's answer, passed on as it is.
+pub fn single(answer: &query::Answer) -> Response {
+    // These statuses would promise that the request has not run, but the searcher has not said so.
+    let promises = matches!(answer.status.as_u16(), 408 | 421 | 429 | 503);
+    if promises {
+        return status(http::StatusCode::BAD_GATEWAY);
+    }
+    let mut response = Response::new(Full::new(answer.body.clone()));
+    *response.status_mut() = answer.status;
+    let listed = header::listed_by_connection(&answer.headers);
+    for (name, value) in &answer.headers {
+        if header::is_per_connection(name, &listed) || name == http::header::CONTENT_LENGTH {
+            continue;
+        }
+        response.headers_mut().append(name.clone(), value.clone());
+    }
+    response
+}
+
+/// The request has not run and will not; the client may come back after a while.
+pub fn refuse(retry_after_ms: u64) -> Response {
+    let mut response = status(http::StatusCode::SERVICE_UNAVAILABLE);
+    let seconds = format!("{:.3}", retry_after_ms as f64 / 1_000.0);
+    if let Ok(value) = http::HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(http::header::RETRY_AFTER, value);
+    }
+    response
+}
+
+/// A status without a body.
+pub fn status(status: http::StatusCode) -> Response {
+    let mut response = Response::new(Full::new(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -39,7 +39,7 @@
     regions: Vec<(CompactString, CompactString)>,
     active: arc_swap::ArcSwap<address::Active>,
     metrics: sync::Arc<metrics::Metrics>,
-    desk: sync::Mutex<Shared>,
+    context: sync::Mutex<Shared>,
 }
 
 struct Shared {
@@ -78,7 +78,7 @@
             patience: patience::Patience::default(),
         };
         let active = arc_swap::ArcSwap::from_pointee(address::Active::default());
-        Self { view, dialect, regions, active, metrics, desk: sync::Mutex::new(shared) }
+        Self { view, dialect, regions, active, metrics, context: sync::Mutex::new(shared) }
     }
 
     /// The metrics.
@@ -88,7 +88,7 @@
 
     /// How many connections to searchers are open.
     pub fn connection_count(&self) -> usize {
-        locks::lock(&self.desk).board.connection_count()
+        locks::lock(&self.context).board.connection_count()
     }
 
     /// What is spoken on the wire.
@@ -107,7 +107,7 @@
                 _ = searchers.changed() => self.sync_board(),
                 _ = members.changed() => self.sync_members(),
                 _ = tokio::time::sleep(SWEEP_PERIOD) => {
-                    locks::lock(&self.desk).board.sweep();
+                    locks::lock(&self.context).board.sweep();
                     if self.view.config_version() != version {
                         version = self.view.config_version();
                         self.sync_board();
@@ -137,8 +137,8 @@
         };
         let now_us = clock::now_us();
         self.view.with_registry(|registry| {
-            let mut desk = locks::lock(&self.desk);
-            desk.board.sync(now_us, registry.records(), distance, connections_max);
+            let mut context = locks::lock(&self.context);
+            context.board.sync(now_us, registry.records(), distance, connections_max);
         });
         self.sync_members();
     }
@@ -151,9 +151,9 @@
         let mut names: Vec<&str> =
             table.config.routes.iter().map(|route| route.name.as_str()).collect();
         names.sort_unstable();
-        let mut desk = locks::lock(&self.desk);
-        desk.latencies.keep(&names);
-        desk.patience.keep(&names);
+        let mut context = locks::lock(&self.context);
+        context.latencies.keep(&names);
+        context.patience.keep(&names);
     }
 
     fn sync_members(&self) {
@@ -170,9 +170,9 @@
             (active, crowd)
         });
         self.active.store(sync::Arc::new(active));
-        let mut desk = locks::lock(&self.desk);
-        desk.board.share_among(crowd);
-        desk.budgets.share_among(clock::now_us(), crowd.active, crowd.is_active);
+        let mut context = locks::lock(&self.context);
+        context.board.share_among(crowd);
+        context.budgets.share_among(clock::now_us(), crowd.active, crowd.is_active);
     }
 
     /// The instances that take clients.
@@ -184,8 +184,8 @@
     /// more.
     pub fn waited_us(&self, route: &config::Route, stated_us: u64) -> u64 {
         let target_us = route.target_latency_ms * 1_000;
-        let mut desk = locks::lock(&self.desk);
-        desk.patience.waited_us(clock::now_us(), &route.name, stated_us, target_us)
+        let mut context = locks::lock(&self.context);
+        context.patience.waited_us(clock::now_us(), &route.name, stated_us, target_us)
     }
 
     /// Runs a query to its end. Dropping the future leaves its sends to end by themselves soon.
@@ -196,7 +196,7 @@
     ) -> Report {
         let mut query = query::Query::new(ask);
         let (ends, mut ended) = mpsc::unbounded_channel();
-        let first = self.decide(|now_us, desk| query.start(now_us, desk));
+        let first = self.decide(|now_us, context| query.start(now_us, context));
         self.make(first, &query, &outgoing, &ends);
         loop {
             if let Some(verdict) = query.verdict(clock::now_us()) {
@@ -207,18 +207,18 @@
             let wake = tokio::time::sleep(time::Duration::from_micros(left_us.max(500)));
             let sends = tokio::select! {
                 Some((number, outcome)) = ended.recv() => {
-                    self.decide(|now_us, desk| query.ended(now_us, desk, number, outcome))
+                    self.decide(|now_us, context| query.ended(now_us, context, number, outcome))
                 }
-                () = wake => self.decide(|now_us, desk| query.tick(now_us, desk)),
+                () = wake => self.decide(|now_us, context| query.tick(now_us, context)),
             };
             self.make(sends, &query, &outgoing, &ends);
         }
     }
 
-    fn decide<T>(&self, decide: impl FnOnce(u64, &mut query::Desk<'_>) -> T) -> T {
-        let mut shared = locks::lock(&self.desk);
+    fn decide<T>(&self, decide: impl FnOnce(u64, &mut query::Context<'_>) -> T) -> T {
+        let mut shared = locks::lock(&self.context);
         let Shared { board, budgets, latencies, .. } = &mut *shared;
-        decide(clock::now_us(), &mut query::Desk { board, budgets, latencies })
+        decide(clock::now_us(), &mut query::Context { board, budgets, latencies })
     }
 
     fn make(
@@ -298,7 +298,7 @@
 
     fn tell_board(&self, now_us: u64, report: board::Report) {
         let link = &self.send.choice.link;
-        let mut shared = locks::lock(&self.forwarder.desk);
+        let mut shared = locks::lock(&self.forwarder.context);
         let typical_us = self.send.typical_us;
         shared.board.done(now_us, link, &self.send.choice.ticket, typical_us, report);
         if let board::Report::Answered { latency_us } = report {
--- a/src/forward/door.rs
+++ b/src/forward/server.rs
@@ -8,14 +8,14 @@
 use crate::events::Event;
 use crate::forward::attempt;
 use crate::forward::dialect;
-use crate::forward::merge;
+use crate::forward::header;
 use crate::forward::query;
+use crate::forward::response;
 use crate::forward::retry_after;
 use crate::forward::run;
 use crate::ids;
 use crate::rate_limit;
 use bytes::Bytes;
-use compact_str::CompactString;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use hyper::server::conn::http1;
@@ -61,7 +61,7 @@
 }
 
 /// The servers' state.
-pub struct Door {
+pub struct Server {
     view: sync::Arc<view::View>,
     forwarder: sync::Arc<run::Forwarder>,
     phase: watch::Sender<Phase>,
@@ -83,9 +83,7 @@
 #[error("the client's request could not be read")]
 struct Unreadable;
 
-type Response = http::Response<Full<Bytes>>;
-
-impl Door {
+impl Server {
     /// Servers that nobody is connected to.
     pub fn new(view: sync::Arc<view::View>, forwarder: sync::Arc<run::Forwarder>) -> Self {
         Self {
@@ -109,7 +107,7 @@
         self.open_count.load(atomic::Ordering::Relaxed)
     }
 
-    /// Serves clients' requests until the stop closes the door.
+    /// Serves clients' requests until the stop closes the server.
     pub async fn serve_clients(self: sync::Arc<Self>, listener: TcpListener) {
         let mut phase = self.phase.subscribe();
         loop {
@@ -136,10 +134,10 @@
         self.open_count.fetch_add(1, atomic::Ordering::Relaxed);
         let limits = self.view.table().map(|table| table.config.limits);
         let idle_ms = limits.map_or(IDLE_TIMEOUT_DEFAULT_MS, |limits| limits.idle_timeout_ms);
-        let door = self.clone();
+        let server = self.clone();
         let service = service::service_fn(move |request| {
-            let door = door.clone();
-            async move { door.answer(request).await }
+            let server = server.clone();
+            async move { server.answer(request).await }
         });
         let mut builder = http1::Builder::new();
         builder.timer(TokioTimer::new());
@@ -165,7 +163,7 @@
     async fn answer(
         &self,
         request: http::Request<hyper::body::Incoming>,
-    ) -> Result<Response, Unreadable> {
+    ) -> Result<response::Response, Unreadable> {
         let arrived_us = clock::now_us();
         let Some(table) = self.view.table().filter(|_| self.view.is_complete()) else {
             return Ok(self.closing(self.refuse_unready()));
@@ -174,7 +172,7 @@
         let (head, body) = request.into_parts();
         let host = head.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
         let route = host.and_then(|host| table.find(host, head.uri.path()));
-        let id = text(&head.headers, &names.request_id);
+        let id = header::text(&head.headers, &names.request_id);
         let Some(route) = route else {
             event!(
                 info,
@@ -184,24 +182,24 @@
                 path = head.uri.path(),
                 config = table.config.version.0
             );
-            return Ok(self.closing(status(http::StatusCode::NOT_FOUND)));
+            return Ok(self.closing(response::status(http::StatusCode::NOT_FOUND)));
         };
         if id.is_empty() {
-            return Ok(self.closing(status(http::StatusCode::BAD_REQUEST)));
+            return Ok(self.closing(response::status(http::StatusCode::BAD_REQUEST)));
         }
         let limits = &table.config.limits;
         let max_bytes = limits.body_max_bytes.max(BODY_DEFAULT_MAX_BYTES) as usize;
         let body = match http_body_util::Limited::new(body, max_bytes).collect().await {
             Ok(body) => body.to_bytes(),
             Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-                return Ok(self.closing(status(http::StatusCode::PAYLOAD_TOO_LARGE)));
+                return Ok(self.closing(response::status(http::StatusCode::PAYLOAD_TOO_LARGE)));
             }
             Err(error) => {
                 tracing::debug!(request = %id, %error, "request's body broke off");
                 return Err(Unreadable);
             }
         };
-        let stated_ms: Option<u64> = text(&head.headers, &names.deadline_ms).parse().ok();
+        let stated_ms: Option<u64> = header::text(&head.headers, &names.deadline_ms).parse().ok();
         let patience_us = stated_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms) * 1_000;
         let waited_us = stated_ms.map_or(0, |stated_ms| {
             self.forwarder.waited_us(route, stated_ms.saturating_mul(1_000))
@@ -209,8 +207,8 @@
         let ask = query::Ask { waited_us, ..ask(route, arrived_us, patience_us) };
         let outgoing = attempt::Outgoing {
             method: head.method,
-            uri: origin_form(&head.uri),
-            headers: passed_on(&head.headers, names),
+            uri: header::origin_form(&head.uri),
+            headers: header::passed_on(&head.headers, names),
             body,
             id: id.clone(),
             deadline_us: arrived_us + patience_us,
@@ -231,13 +229,13 @@
     }
 
     /// Refuses a client's call: the configuration and the searchers are not known yet.
-    fn refuse_unready(&self) -> Response {
+    fn refuse_unready(&self) -> response::Response {
         let waiting_us = clock::now_us().saturating_sub(self.started_us);
-        refuse(retry_after::unready_ms(waiting_us))
+        response::refuse(retry_after::unready_ms(waiting_us))
     }
 
     /// An answer that is the connection's last one while the instance stops.
-    fn closing(&self, mut response: Response) -> Response {
+    fn closing(&self, mut response: response::Response) -> response::Response {
         if *self.phase.borrow() != Phase::Serving {
             let close = http::HeaderValue::from_static("close");
             response.headers_mut().insert(http::header::CONNECTION, close);
@@ -245,14 +243,14 @@
         response
     }
 
-    fn respond(&self, report: &run::Report, route: &config::Route) -> Response {
+    fn respond(&self, report: &run::Report, route: &config::Route) -> response::Response {
         let names = &self.forwarder.dialect().headers;
         match &report.verdict {
-            query::Verdict::Gathered(parts) => gathered(parts, route, names),
-            query::Verdict::Single(answer) => single(answer),
-            query::Verdict::NotRun { retry_after_ms } => refuse(*retry_after_ms),
-            query::Verdict::Failed => status(http::StatusCode::BAD_GATEWAY),
-            query::Verdict::TimedOut => status(http::StatusCode::GATEWAY_TIMEOUT),
+            query::Verdict::Gathered(parts) => response::gathered(parts, route, names),
+            query::Verdict::Single(answer) => response::single(answer),
+            query::Verdict::NotRun { retry_after_ms } => response::refuse(*retry_after_ms),
+            query::Verdict::Failed => response::status(http::StatusCode::BAD_GATEWAY),
+            query::Verdict::TimedOut => response::status(http::StatusCode::GATEWAY_TIMEOUT),
         }
     }
 
@@ -321,21 +319,21 @@
 
     /// Answers clients that ask where to connect, until the process ends.
     pub async fn serve_directory(self: sync::Arc<Self>, listener: TcpListener) {
-        let door = self.clone();
-        serve_plain(listener, "directory", move |uri| door.directory(uri)).await;
+        let server = self.clone();
+        serve_plain(listener, "directory", move |uri| server.directory(uri)).await;
     }
 
-    fn directory(&self, uri: &http::Uri) -> Response {
+    fn directory(&self, uri: &http::Uri) -> response::Response {
         let dialect = self.forwarder.dialect();
         let Some(call) = (dialect.parse_directory)(uri) else {
-            return status(http::StatusCode::NOT_FOUND);
+            return response::status(http::StatusCode::NOT_FOUND);
         };
         let addresses = self.forwarder.active().addresses(&call.region);
         if addresses.is_empty() {
             return self.refuse_unready();
         }
         let reply = dialect::DirectoryReply { addresses, ttl_s: ADDRESS_TTL_S };
-        let mut response = Response::new(Full::new((dialect.write_directory)(&reply)));
+        let mut response = http::Response::new(Full::new((dialect.write_directory)(&reply)));
         let json = http::HeaderValue::from_static("application/json");
         response.headers_mut().insert(http::header::CONTENT_TYPE, json);
         response
@@ -343,51 +341,51 @@
 
     /// Shows the metrics until the process ends.
     pub async fn serve_metrics(self: sync::Arc<Self>, listener: TcpListener) {
-        let door = self.clone();
+        let server = self.clone();
         serve_plain(listener, "metrics", move |uri| match uri.path() {
-            METRICS_PATH => door.metrics(),
-            _ => status(http::StatusCode::NOT_FOUND),
+            METRICS_PATH => server.metrics(),
+            _ => response::status(http::StatusCode::NOT_FOUND),
         })
         .await;
     }
 
-    fn metrics(&self) -> Response {
+    fn metrics(&self) -> response::Response {
         let metrics = self.forwarder.metrics();
         let searcher_connections = self.forwarder.connection_count();
         match metrics.render(&self.view, self.open_count(), searcher_connections) {
             Ok(text) => {
-                let mut response = Response::new(Full::new(Bytes::from(text)));
+                let mut response = http::Response::new(Full::new(Bytes::from(text)));
                 let kind = http::HeaderValue::from_static(crate::metrics::CONTENT_TYPE);
                 response.headers_mut().insert(http::header::CONTENT_TYPE, kind);
                 response
             }
             Err(error) => {
                 tracing::error!(%error, "metrics can't be written");
-                status(http::StatusCode::INTERNAL_SERVER_ERROR)
+                response::status(http::StatusCode::INTERNAL_SERVER_ERROR)
             }
         }
     }
 
     /// Answers the readiness check until the process ends.
     pub async fn serve_readiness(self: sync::Arc<Self>, listener: TcpListener) {
-        let door = self.clone();
+        let server = self.clone();
         serve_plain(listener, "ready", move |uri| {
-            if uri.path() != door.forwarder.dialect().readiness_path {
-                return status(http::StatusCode::NOT_FOUND);
+            if uri.path() != server.forwarder.dialect().readiness_path {
+                return response::status(http::StatusCode::NOT_FOUND);
             }
-            let state = door.view.with_members(|members| members.me().state);
+            let state = server.view.with_members(|members| members.me().state);
             match state {
-                members::MemberState::Ready => status(http::StatusCode::OK),
-                _ => status(http::StatusCode::SERVICE_UNAVAILABLE),
+                members::MemberState::Ready => response::status(http::StatusCode::OK),
+                _ => response::status(http::StatusCode::SERVICE_UNAVAILABLE),
             }
         })
         .await;
     }
 }
 
-/// Waits until the stop closes the door.
+/// Waits until the stop closes the server.
 async fn closing(phase: &mut watch::Receiver<Phase>) {
-    // An error would mean that the door is gone, and with it the process.
+    // An error would mean that the server is gone, and with it the process.
     let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
 }
 
@@ -395,7 +393,7 @@
 async fn serve_plain(
     listener: TcpListener,
     port: &'static str,
-    answer: impl Fn(&http::Uri) -> Response + Send + Sync + 'static,
+    answer: impl Fn(&http::Uri) -> response::Response + Send + Sync + 'static,
 ) {
     let answer = sync::Arc::new(answer);
     loop {
@@ -471,114 +469,3 @@
     }
     parts.iter().rev().find(|part| part.weight > 0.0).map(|part| part.service.clone())
 }
-
-fn gathered(
-    parts: &[Option<query::Answer>],
-    route: &config::Route,
-    names: &dialect::Headers,
-) -> Response {
-    let config::Target::Gather(gather) = &route.target else {
-        return status(http::StatusCode::BAD_GATEWAY);
-    };
-    let answers: Vec<&query::Answer> = parts.iter().flatten().collect();
-    let bodies = answers.iter().map(|answer| &answer.body);
-    let body = merge::top_records(bodies, gather.top_count as usize);
-    let mut response = Response::new(Full::new(body));
-    let stamps: Vec<&[u8]> = answers
-        .iter()
-        .filter_map(|answer| answer.stamp.as_ref())
-        .map(http::HeaderValue::as_bytes)
-        .collect();
-    let Ok(stamps) = http::HeaderValue::from_bytes(&stamps.join(&b", "[..])) else {
-        return status(http::StatusCode::BAD_GATEWAY);
-    };
-    let headers = response.headers_mut();
-    headers.insert(names.part_stamps.clone(), stamps);
-    headers.insert(names.missing_parts.clone(), (parts.len() - answers.len()).into());
-    response
-}
-
-/// A searcher's answer, passed on as it is.
-fn single(answer: &query::Answer) -> Response {
-    // These statuses would promise that the request has not run, but the searcher has not said so.
-    let promises = matches!(answer.status.as_u16(), 408 | 421 | 429 | 503);
-    if promises {
-        return status(http::StatusCode::BAD_GATEWAY);
-    }
-    let mut response = Response::new(Full::new(answer.body.clone()));
-    *response.status_mut() = answer.status;
-    let listed = listed_by_connection(&answer.headers);
-    for (name, value) in &answer.headers {
-        if is_per_connection(name, &listed) || name == http::header::CONTENT_LENGTH {
-            continue;
-        }
-        response.headers_mut().append(name.clone(), value.clone());
-    }
-    response
-}
-
-fn refuse(retry_after_ms: u64) -> Response {
-    let mut response = status(http::StatusCode::SERVICE_UNAVAILABLE);
-    let seconds = format!("{:.3}", retry_after_ms as f64 / 1_000.0);
-    if let Ok(value) = http::HeaderValue::from_str(&seconds) {
-        response.headers_mut().insert(http::header::RETRY_AFTER, value);
-    }
-    response
-}
-
-fn status(status: http::StatusCode) -> Response {
-    let mut response = Response::new(Full::new(Bytes::new()));
-    *response.status_mut() = status;
-    response
-}
-
-fn text(headers: &http::HeaderMap, name: &http::HeaderName) -> CompactString {
-    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().into()
-}
-
-/// The client's headers that go to the searcher.
-fn passed_on(headers: &http::HeaderMap, names: &dialect::Headers) -> http::HeaderMap {
-    let listed = listed_by_connection(headers);
-    let mut passed = http::HeaderMap::with_capacity(headers.len());
-    for (name, value) in headers {
-        let is_own = name == names.deadline_ms || name == names.expected_searcher;
-        if is_own || is_per_connection(name, &listed) || name == http::header::CONTENT_LENGTH {
-            continue;
-        }
-        passed.append(name.clone(), value.clone());
-    }
-    passed
-}
-
-/// The headers that `Connection` names: they concern one connection only.
-fn listed_by_connection(headers: &http::HeaderMap) -> Vec<CompactString> {
-    let mut listed = Vec::new();
-    for value in headers.get_all(http::header::CONNECTION) {
-        for name in value.to_str().unwrap_or_default().split(',') {
-            listed.push(CompactString::from(name.trim().to_ascii_lowercase()));
-        }
-    }
-    listed
-}
-
-fn is_per_connection(name: &http::HeaderName, listed: &[CompactString]) -> bool {
-    const PER_CONNECTION: [&str; 9] = [
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    ];
-    PER_CONNECTION.contains(&name.as_str()) || listed.iter().any(|known| known == name.as_str())
-}
-
-fn origin_form(uri: &http::Uri) -> http::Uri {
-    let Some(path) = uri.path_and_query() else {
-        return http::Uri::from_static("/");
-    };
-    http::Uri::from(path.clone())
-}
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,9 +11,9 @@
 use crate::events::Event;
 use crate::forward::budget;
 use crate::forward::dialect;
-use crate::forward::door;
 use crate::forward::metrics;
 use crate::forward::run;
+use crate::forward::server;
 use compact_str::CompactString;
 use error_stack::ResultExt as _;
 use std::net;
@@ -112,23 +112,23 @@
         metrics.clone(),
     );
     let forwarder = sync::Arc::new(forwarder);
-    let door = sync::Arc::new(door::Door::new(view.clone(), forwarder.clone()));
+    let server = sync::Arc::new(server::Server::new(view.clone(), forwarder.clone()));
 
     let listen = settings.listen;
     if let Some(address) = listen.control {
         tokio::spawn(publisher::run(bind(address).await?, view.clone()));
     }
     if let Some(address) = listen.directory {
-        tokio::spawn(door.clone().serve_directory(bind(address).await?));
+        tokio::spawn(server.clone().serve_directory(bind(address).await?));
     }
     if let Some(address) = listen.ready {
-        tokio::spawn(door.clone().serve_readiness(bind(address).await?));
+        tokio::spawn(server.clone().serve_readiness(bind(address).await?));
     }
     if let Some(address) = listen.metrics {
-        tokio::spawn(door.clone().serve_metrics(bind(address).await?));
+        tokio::spawn(server.clone().serve_metrics(bind(address).await?));
     }
     if let Some(address) = listen.front {
-        tokio::spawn(door.clone().serve_clients(bind(address).await?));
+        tokio::spawn(server.clone().serve_clients(bind(address).await?));
     }
     let reader = reader::Reader::new(
         view.clone(),
@@ -145,8 +145,8 @@
 
     terminate.recv().await;
     readiness.abort();
-    stop(&view, &door, settings.grace).await;
-    event!(info, Event::InstanceStopped, instance = %name, open_connections = door.open_count());
+    stop(&view, &server, settings.grace).await;
+    event!(info, Event::InstanceStopped, instance = %name, open_connections = server.open_count());
     Ok(())
 }
 
@@ -175,19 +175,19 @@
 
 /// Stops without cutting a request: first out of the addresses that clients are told, then the idle
 /// connections closed, then gone when the last request is answered.
-async fn stop(view: &view::View, door: &door::Door, grace: time::Duration) {
-    event!(info, Event::InstanceStopping, open_connections = door.open_count());
+async fn stop(view: &view::View, server: &server::Server, grace: time::Duration) {
+    event!(info, Event::InstanceStopping, open_connections = server.open_count());
     let started_us = clock::now_us();
     let elapsed = || time::Duration::from_micros(clock::now_us() - started_us);
     view.change_members(|members| {
         let reaches_store = members.me().reaches_store;
         members.set_me(members::MemberState::Draining, reaches_store)
     });
-    door.enter(door::Phase::Leaving);
+    server.enter(server::Phase::Leaving);
     let last = grace.saturating_sub(GRACE_MARGIN);
     tokio::time::sleep(LEAVE.min(last / 2)).await;
-    door.enter(door::Phase::Closing);
-    while door.open_count() > 0 && elapsed() < last {
+    server.enter(server::Phase::Closing);
+    while server.open_count() > 0 && elapsed() < last {
         tokio::time::sleep(IDLE_PERIOD).await;
     }
 }
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -50,6 +50,7 @@
 fn logged() -> collections::BTreeSet<(String, String)> {
     let mut texts = Vec::new();
     sources(path::Path::new("src"), &mut texts);
+    sources(path::Path::new("platform/src"), &mut texts);
     let mut logged = collections::BTreeSet::new();
     for text in texts {
         for (position, start) in text.match_indices("event!(") {
--- a/tests/forward_load.rs
+++ b/tests/forward_load.rs
@@ -85,8 +85,8 @@
             let ask = query::Ask { arrived_us: now_us, attempts, ..gather(&SHARDS, 9) };
             queries.push(Some(query::Query::new(ask)));
             tickets.push(Vec::new());
-            let mut desk = world.desk();
-            queries[at].as_mut().unwrap().start(now_us, &mut desk)
+            let mut context = world.context();
+            queries[at].as_mut().unwrap().start(now_us, &mut context)
         } else if let Some((number, end)) = end {
             let (send, sent_us) = &tickets[at][number];
             let latency_us = now_us - sent_us;
@@ -114,12 +114,12 @@
                         End::Rejected => query::Outcome::NotRun,
                         End::Lost => query::Outcome::Lost,
                     };
-                    query.ended(now_us, &mut world.desk(), number, outcome)
+                    query.ended(now_us, &mut world.context(), number, outcome)
                 }
                 None => Vec::new(),
             }
         } else if let Some(query) = queries[at].as_mut() {
-            query.tick(now_us, &mut world.desk())
+            query.tick(now_us, &mut world.context())
         } else {
             Vec::new()
         };
--- a/tests/forward_query.rs
+++ b/tests/forward_query.rs
@@ -28,19 +28,19 @@
 
     fn start_in(mut world: World, ask: query::Ask) -> Self {
         let mut query = query::Query::new(ask);
-        let sends = query.start(START_US, &mut world.desk());
+        let sends = query.start(START_US, &mut world.context());
         Self { world, query, now_us: START_US, sends }
     }
 
     fn at(&mut self, after_us: u64) -> &mut Self {
         self.now_us = START_US + after_us;
-        let more = self.query.tick(self.now_us, &mut self.world.desk());
+        let more = self.query.tick(self.now_us, &mut self.world.context());
         self.sends.extend(more);
         self
     }
 
     fn ends(&mut self, number: usize, outcome: query::Outcome) -> &mut Self {
-        let more = self.query.ended(self.now_us, &mut self.world.desk(), number, outcome);
+        let more = self.query.ended(self.now_us, &mut self.world.context(), number, outcome);
         self.sends.extend(more);
         self
     }
--- a/tests/forward_support/mod.rs
+++ b/tests/forward_support/mod.rs
@@ -81,8 +81,8 @@
         Self { board: board(services), budgets, latencies: latency::Latencies::default() }
     }
 
-    pub fn desk(&mut self) -> query::Desk<'_> {
-        query::Desk {
+    pub fn context(&mut self) -> query::Context<'_> {
+        query::Context {
             board: &mut self.board,
             budgets: &mut self.budgets,
             latencies: &self.latencies,
