--- a/src/forward/header.rs
+++ b/src/forward/header.rs
@@ -3,7 +3,7 @@
 use crate::forward::dialect;
 use compact_str::CompactString;
 
-/// A header as text; empty if there is none that is.
+/// A header's value; empty if the header is missing or is no text.
 pub fn text(headers: &http::HeaderMap, name: &http::HeaderName) -> CompactString {
     headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().into()
 }
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -39,7 +39,7 @@
     regions: Vec<(CompactString, CompactString)>,
     active: arc_swap::ArcSwap<address::Active>,
     metrics: sync::Arc<metrics::Metrics>,
-    context: sync::Mutex<Shared>,
+    shared: sync::Mutex<Shared>,
 }
 
 struct Shared {
@@ -78,7 +78,7 @@
             patience: patience::Patience::default(),
         };
         let active = arc_swap::ArcSwap::from_pointee(address::Active::default());
-        Self { view, dialect, regions, active, metrics, context: sync::Mutex::new(shared) }
+        Self { view, dialect, regions, active, metrics, shared: sync::Mutex::new(shared) }
     }
 
     /// The metrics.
@@ -88,7 +88,7 @@
 
     /// How many connections to searchers are open.
     pub fn connection_count(&self) -> usize {
-        locks::lock(&self.context).board.connection_count()
+        locks::lock(&self.shared).board.connection_count()
     }
 
     /// What is spoken on the wire.
@@ -107,7 +107,7 @@
                 _ = searchers.changed() => self.sync_board(),
                 _ = members.changed() => self.sync_members(),
                 _ = tokio::time::sleep(SWEEP_PERIOD) => {
-                    locks::lock(&self.context).board.sweep();
+                    locks::lock(&self.shared).board.sweep();
                     if self.view.config_version() != version {
                         version = self.view.config_version();
                         self.sync_board();
@@ -137,8 +137,8 @@
         };
         let now_us = clock::now_us();
         self.view.with_registry(|registry| {
-            let mut context = locks::lock(&self.context);
-            context.board.sync(now_us, registry.records(), distance, connections_max);
+            let mut shared = locks::lock(&self.shared);
+            shared.board.sync(now_us, registry.records(), distance, connections_max);
         });
         self.sync_members();
     }
@@ -151,9 +151,9 @@
         let mut names: Vec<&str> =
             table.config.routes.iter().map(|route| route.name.as_str()).collect();
         names.sort_unstable();
-        let mut context = locks::lock(&self.context);
-        context.latencies.keep(&names);
-        context.patience.keep(&names);
+        let mut shared = locks::lock(&self.shared);
+        shared.latencies.keep(&names);
+        shared.patience.keep(&names);
     }
 
     fn sync_members(&self) {
@@ -170,9 +170,9 @@
             (active, crowd)
         });
         self.active.store(sync::Arc::new(active));
-        let mut context = locks::lock(&self.context);
-        context.board.share_among(crowd);
-        context.budgets.share_among(clock::now_us(), crowd.active, crowd.is_active);
+        let mut shared = locks::lock(&self.shared);
+        shared.board.share_among(crowd);
+        shared.budgets.share_among(clock::now_us(), crowd.active, crowd.is_active);
     }
 
     /// The instances that take clients.
@@ -180,12 +180,12 @@
         self.active.load_full()
     }
 
-    /// How long a client has waited for whose request on `route` came in now, and who will wait `stated_us`
+    /// How long the client of a request on `route` that came in now has waited before. It will wait `stated_us`
     /// more.
     pub fn waited_us(&self, route: &config::Route, stated_us: u64) -> u64 {
         let target_us = route.target_latency_ms * 1_000;
-        let mut context = locks::lock(&self.context);
-        context.patience.waited_us(clock::now_us(), &route.name, stated_us, target_us)
+        let mut shared = locks::lock(&self.shared);
+        shared.patience.waited_us(clock::now_us(), &route.name, stated_us, target_us)
     }
 
     /// Runs a query to its end. Dropping the future leaves its sends to end by themselves soon.
@@ -216,7 +216,7 @@
     }
 
     fn decide<T>(&self, decide: impl FnOnce(u64, &mut query::Context<'_>) -> T) -> T {
-        let mut shared = locks::lock(&self.context);
+        let mut shared = locks::lock(&self.shared);
         let Shared { board, budgets, latencies, .. } = &mut *shared;
         decide(clock::now_us(), &mut query::Context { board, budgets, latencies })
     }
@@ -298,7 +298,7 @@
 
     fn tell_board(&self, now_us: u64, report: board::Report) {
         let link = &self.send.choice.link;
-        let mut shared = locks::lock(&self.forwarder.context);
+        let mut shared = locks::lock(&self.forwarder.shared);
         let typical_us = self.send.typical_us;
         shared.board.done(now_us, link, &self.send.choice.ticket, typical_us, report);
         if let board::Report::Answered { latency_us } = report {
