Answer all requests of a planned stop; time answers by measured delays

An instance that stops took requests until its last idle connection was closed, 3.2 s after SIGTERM, and cut those that were not answered 5.6 s after it, without an answer (reported by other operators). It knows how long it lives: a request that may take longer than that is refused at once with a true "not run" and another instance serves it; the expected time is three times the route's 99th percentile, the target at least; without samples the timeout for requests that run only once. All others are answered 0.3 s before the exit at the latest, as timed out if need be.

The margin is measured now, and the line is logged after the answer.

Instances tell each other the longest timeouts that clients state, through the readers, with their age.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -4,6 +4,7 @@
 //! to all others over long-lived connections, so that the number of calls to the store does not grow with
 //! the number of instances.
 
+pub mod client_wait;
 pub mod config;
 pub mod feed;
 pub mod members;
--- a/src/discovery/config.rs
+++ b/src/discovery/config.rs
@@ -79,6 +79,14 @@
 }
 
 impl Target {
+    /// The number of parts of a request: one for each shard of a gather.
+    pub fn parts(&self) -> usize {
+        match self {
+            Self::Service(_) | Self::Split(_) => 1,
+            Self::Gather(gather) => gather.shards.len(),
+        }
+    }
+
     /// All services that a request on this route may use.
     pub fn services(&self) -> Vec<&ids::ServiceName> {
         match self {
--- a/src/discovery/feed.rs
+++ b/src/discovery/feed.rs
@@ -2,6 +2,7 @@
 //!
 //! The *subscriber* opens a connection; the instance that accepts it is its *source*.
 
+use crate::discovery::client_wait;
 use crate::discovery::config;
 use crate::discovery::members;
 use crate::discovery::registry;
@@ -13,7 +14,7 @@
 
 /// The key of the frames' checksums. The platform gives instances no shared secret, so the checksums detect
 /// corruption and accidental connections from other software, but not forgery.
-pub const FRAME_KEY: [u8; 32] = *b"tarragondoor feed frames, v1\0\0\0\0";
+pub const FRAME_KEY: [u8; 32] = *b"tarragondoor feed frames, v2\0\0\0\0";
 
 /// A message from a subscriber to its source.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -29,6 +30,8 @@
     SendConfig,
     /// Requests all searchers.
     SendSearchers,
+    /// The longest timeouts that clients have stated to the subscriber.
+    ClientTimeouts(Vec<client_wait::LongestTimeout>),
 }
 
 /// A message from a source to its subscriber.
@@ -44,6 +47,8 @@
     Config(Box<config::Config>),
     /// The changes from the previous configuration.
     ConfigDelta(Box<config::ConfigDelta>),
+    /// The longest timeouts that clients have stated to instances of the source's region.
+    ClientTimeouts(Vec<client_wait::LongestTimeout>),
     /// Sent periodically: how recent the source's state is.
     Heartbeat {
         /// The version of the source's configuration; 0 if it has none.
--- a/src/discovery/publisher.rs
+++ b/src/discovery/publisher.rs
@@ -1,6 +1,7 @@
 //! Accepts connections from subscribers and sends them the changes that this instance learns of.
 
 use crate::clock;
+use crate::discovery::client_wait;
 use crate::discovery::config;
 use crate::discovery::feed;
 use crate::discovery::members;
@@ -79,6 +80,7 @@
         needs_searchers: false,
         members_change: None,
         planned: None,
+        timeouts_told: None,
     };
     if let Err(error) = session.run(received).await {
         tracing::debug!(%error, %peer, "connection from subscriber ended");
@@ -152,6 +154,8 @@
     needs_searchers: bool,
     members_change: Option<MembersChange>,
     planned: Option<PlannedFrame>,
+    /// The number of changes of clients' timeouts when they were last told, and when that was.
+    timeouts_told: Option<(u64, u64)>,
 }
 
 impl Session {
@@ -171,6 +175,7 @@
                     Some(feed::Request::Hello { member, config }) => self.hello(member, config).await?,
                     Some(feed::Request::SendConfig) => self.needs_config = true,
                     Some(feed::Request::SendSearchers) => self.needs_searchers = true,
+                    Some(feed::Request::ClientTimeouts(timeouts)) => self.view.tell_client_timeouts(&timeouts),
                     None => return Ok(()),
                 },
                 update = self.updates.recv(), if self.subscriber.is_some() && is_free => match update {
@@ -178,7 +183,10 @@
                     Err(broadcast::error::RecvError::Lagged(_)) => self.send_all().await?,
                     Err(broadcast::error::RecvError::Closed) => return Ok(()),
                 },
-                _ = heartbeat.tick(), if self.subscriber.is_some() => self.send_heartbeat().await?,
+                _ = heartbeat.tick(), if self.subscriber.is_some() => {
+                    self.send_heartbeat().await?;
+                    self.tell_client_timeouts().await?;
+                }
                 () = wait_until(members_at) => self.plan_members()?,
                 () = wait_until(planned_at) => self.send_planned().await?,
             }
@@ -300,6 +308,25 @@
         self.write(&buffer).await
     }
 
+    /// Tells a subscriber in the same region the longest timeouts that clients have stated, if they have changed or were
+    /// told long ago.
+    async fn tell_client_timeouts(&mut self) -> Result<(), frame::FrameError> {
+        if !self.is_same_region() {
+            return Ok(());
+        }
+        let due =
+            self.view.client_timeouts_due(self.timeouts_told, client_wait::Estimator::longest);
+        let Some((timeouts, told)) = due else {
+            return Ok(());
+        };
+        self.timeouts_told = Some(told);
+        let update = feed::Update::ClientTimeouts(timeouts);
+        let mut buffer = Vec::new();
+        self.codec.encode(&update, &mut buffer)?;
+        self.metrics.record_feed_sent((&update).into(), buffer.len());
+        self.write(&buffer).await
+    }
+
     /// Encodes an update and reserves a slot for it.
     fn plan(&mut self, update: &feed::Update, is_requested: bool) -> Result<(), frame::FrameError> {
         let body = postcard::to_stdvec(update)?;
--- a/src/discovery/subscriber.rs
+++ b/src/discovery/subscriber.rs
@@ -2,6 +2,7 @@
 //! instance is known, it also connects to the seeds.
 
 use crate::clock;
+use crate::discovery::client_wait;
 use crate::discovery::config;
 use crate::discovery::feed;
 use crate::discovery::members;
@@ -162,6 +163,8 @@
     config_fetch_delay: FetchDelay,
     /// The same for searchers.
     searchers_fetch_delay: FetchDelay,
+    /// The number of changes of clients' timeouts when they were last told, and when that was.
+    timeouts_told: Option<(u64, u64)>,
 }
 
 impl<'a> SourceConnection<'a> {
@@ -172,6 +175,7 @@
             other_region_delay_us,
             config_fetch_delay: FetchDelay::default(),
             searchers_fetch_delay: FetchDelay::default(),
+            timeouts_told: None,
         }
     }
 
@@ -207,7 +211,10 @@
                     Some(Err(ended)) => break 'session ended,
                     None => break 'session ConnectionEnd::TimedOut,
                 },
-                _ = hello.tick() => requests.push(self.hello()),
+                _ = hello.tick() => {
+                    requests.push(self.hello());
+                    requests.extend(self.client_timeouts());
+                }
                 _ = members_changed.changed() => {
                     let me = self.view.with_members(|members| members.me().clone());
                     if last_hello.as_ref() != Some(&me) {
@@ -233,6 +240,14 @@
         feed::Request::Hello { member, config: self.view.config_version() }
     }
 
+    /// What to tell the source of clients' timeouts; `None` if it knows.
+    fn client_timeouts(&mut self) -> Option<feed::Request> {
+        let select = client_wait::Estimator::own_longest;
+        let (timeouts, told) = self.view.client_timeouts_due(self.timeouts_told, select)?;
+        self.timeouts_told = Some(told);
+        Some(feed::Request::ClientTimeouts(timeouts))
+    }
+
     /// Applies an update. Returns the requests to send to the source.
     fn apply(&mut self, update: feed::Update) -> Vec<feed::Request> {
         match update {
@@ -241,6 +256,7 @@
                 let address = self.address;
                 self.view.change_members(|known| known.set_source_members(address, members));
             }
+            feed::Update::ClientTimeouts(timeouts) => self.view.tell_client_timeouts(&timeouts),
             feed::Update::Config(config) => {
                 self.view.offer_config(*config, 0);
             }
--- a/src/discovery/view.rs
+++ b/src/discovery/view.rs
@@ -1,6 +1,7 @@
 //! The state shared by an instance's tasks: configuration, searchers and members, and how old each is.
 
 use crate::clock;
+use crate::discovery::client_wait;
 use crate::discovery::config;
 use crate::discovery::feed;
 use crate::discovery::members;
@@ -20,6 +21,7 @@
 pub struct View {
     table: arc_swap::ArcSwapOption<table::RouteTable>,
     inner: sync::Mutex<Inner>,
+    client_wait: sync::Mutex<client_wait::Estimator>,
     updates: broadcast::Sender<sync::Arc<feed::Update>>,
     searchers_epoch: watch::Sender<u64>,
     members_epoch: watch::Sender<u64>,
@@ -59,6 +61,7 @@
                 searchers_verified_us: None,
                 config_verified_us: None,
             }),
+            client_wait: sync::Mutex::default(),
             updates: broadcast::Sender::new(BACKLOG_MAX),
             searchers_epoch: watch::Sender::new(0),
             members_epoch: watch::Sender::new(0),
@@ -192,6 +195,39 @@
         read(&locks::lock(&self.inner).registry)
     }
 
+    /// Calls `use_it` on the estimator of clients' waiting times while holding the lock.
+    pub fn with_client_wait<T>(&self, use_it: impl FnOnce(&mut client_wait::Estimator) -> T) -> T {
+        use_it(&mut locks::lock(&self.client_wait))
+    }
+
+    /// Records what another instance tells of clients' timeouts.
+    pub fn tell_client_timeouts(&self, timeouts: &[client_wait::LongestTimeout]) {
+        let now_us = clock::now_us();
+        self.with_client_wait(|client_wait| {
+            for told in timeouts {
+                client_wait.tell(now_us, told);
+            }
+        });
+    }
+
+    /// Returns the clients' timeouts to tell another instance, selected by `select`, if any have changed or were told
+    /// long ago. `told` is what this returned besides them the last time: the number of changes and the time.
+    pub fn client_timeouts_due(
+        &self,
+        told: Option<(u64, u64)>,
+        select: impl FnOnce(&client_wait::Estimator, u64) -> Vec<client_wait::LongestTimeout>,
+    ) -> Option<(Vec<client_wait::LongestTimeout>, (u64, u64))> {
+        let now_us = clock::now_us();
+        self.with_client_wait(|client_wait| {
+            let raised_count = client_wait.raised_count();
+            let is_due = told.is_none_or(|(told_count, told_us)| {
+                told_count != raised_count || now_us - told_us >= client_wait::TELL_PERIOD_US
+            });
+            let timeouts = if is_due { select(client_wait, now_us) } else { Vec::new() };
+            (!timeouts.is_empty()).then_some((timeouts, (raised_count, now_us)))
+        })
+    }
+
     /// Calls `read` on the members while holding the lock.
     pub fn with_members<T>(&self, read: impl FnOnce(&members::Members) -> T) -> T {
         read(&locks::lock(&self.inner).members)
--- a/src/events.rs
+++ b/src/events.rs
@@ -72,6 +72,8 @@
     SearcherLeaving = 505,
     /// A searcher began or ceased to name a limit of requests per second.
     SearcherLimit = 506,
+    /// A request was refused because the instance stops before it would be answered.
+    RefusedByShutdown = 507,
 }
 
 impl Event {
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -6,10 +6,10 @@
 
 pub mod address;
 pub mod answer_buffer;
+pub mod answer_delay;
 pub mod attempt;
 pub mod balancer;
 pub mod budget;
-pub mod client_wait;
 pub mod dialect;
 pub mod endpoint;
 pub mod header;
@@ -22,3 +22,4 @@
 pub mod retry_after;
 pub mod run;
 pub mod server;
+pub mod shutdown;
--- a/src/forward/query.rs
+++ b/src/forward/query.rs
@@ -26,9 +26,8 @@
 const HEDGE_MIN_US: u64 = 8_000;
 /// The delay before a hedge that could not be sent is tried again.
 const HEDGE_RETRY_DELAY_US: u64 = 25_000;
-/// How long before the target latency a gather may complete with parts missing: covers the network round trip
-/// to the client and the time to write the answer.
-const TARGET_MARGIN_US: u64 = 10_000;
+/// [`Spec::margin_us`] is at most the target latency divided by this.
+const MARGIN_DIVISOR: u64 = 5;
 /// How long before the client's deadline a query times out.
 const DEADLINE_MARGIN_US: u64 = 8_000;
 /// A first send adds the target latency divided by this to the cost of searchers in other regions.
@@ -63,6 +62,8 @@
     pub waited_us: u64,
     /// The route's target latency.
     pub target_us: u64,
+    /// How long before the target latency an answer has to be complete to reach the client in time.
+    pub margin_us: u64,
     /// The client's timeout, or the route's if that is shorter, counted from the arrival.
     pub timeout_us: u64,
 }
@@ -207,6 +208,8 @@
     sends: Vec<SendRecord>,
     may_have_run: bool,
     hedges_denied: u64,
+    /// The time by which the query has to end because the instance stops; [`u64::MAX`] if it does not.
+    ends_by_us: u64,
     /// The time from which the searchers accept the requests that they did not accept, as far as they have said.
     accepted_from_us: Option<u64>,
 }
@@ -221,6 +224,7 @@
             sends: Vec::new(),
             may_have_run: false,
             hedges_denied: 0,
+            ends_by_us: u64::MAX,
             accepted_from_us: None,
         }
     }
@@ -251,10 +255,16 @@
         self.parts.iter().filter(|part| part.answer.is_some()).count()
     }
 
+    /// Makes the query end by `ends_by_us`, which may be before its deadline.
+    pub fn limit_deadline(&mut self, ends_by_us: u64) {
+        self.ends_by_us = ends_by_us;
+    }
+
     /// Returns the time at which the query times out.
     pub fn deadline_us(&self) -> u64 {
         let margin_us = DEADLINE_MARGIN_US.min(self.spec.timeout_us / 10);
-        self.spec.arrived_us + self.spec.timeout_us - margin_us
+        let deadline_us = self.spec.arrived_us + self.spec.timeout_us - margin_us;
+        deadline_us.min(self.ends_by_us)
     }
 
     /// Returns the time until which a part waits for a busy searcher. It is well before the target latency,
@@ -265,7 +275,7 @@
 
     /// Returns the time from which a gather may complete with some of its parts missing.
     fn partial_from_us(&self) -> u64 {
-        let margin_us = TARGET_MARGIN_US.min(self.spec.target_us / 5);
+        let margin_us = self.spec.margin_us.min(self.spec.target_us / MARGIN_DIVISOR);
         let wait_us = self.spec.target_us.saturating_sub(margin_us + self.spec.waited_us);
         self.spec.arrived_us + wait_us
     }
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -8,27 +8,31 @@
 use crate::events::Event;
 use crate::forward::address;
 use crate::forward::answer_buffer;
+use crate::forward::answer_delay;
 use crate::forward::attempt;
 use crate::forward::balancer;
 use crate::forward::budget;
-use crate::forward::client_wait;
 use crate::forward::dialect;
 use crate::forward::endpoint;
 use crate::forward::latency;
 use crate::forward::limit;
 use crate::forward::metrics;
 use crate::forward::query;
+use crate::forward::shutdown;
 use crate::ids;
 use crate::locks;
 use compact_str::CompactString;
 use std::sync;
 use std::time;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use xxhash_rust::xxh3;
 
 /// How long a send of an idempotent request continues after its query has completed: its answer is a sample
 /// of the searcher's latency, and its connection can be reused.
 const ABANDONED_SEND_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+/// The shortest time between two wake-ups of a query.
+const SLEEP_MIN_US: u64 = 500;
 /// The interval at which expired idle connections are closed and a new configuration is detected.
 const SWEEP_PERIOD: time::Duration = time::Duration::from_millis(500);
 /// The connections that a searcher is assumed to accept if its service is not in the configuration.
@@ -46,6 +50,8 @@
     active: arc_swap::ArcSwap<address::ActiveMembers>,
     metrics: sync::Arc<metrics::Metrics>,
     answer_buffer: sync::Arc<answer_buffer::AnswerBuffer>,
+    /// The time by which all queries have to end; `None` unless the instance stops.
+    last_answer_us: watch::Sender<Option<u64>>,
     shared: sync::Mutex<Shared>,
 }
 
@@ -53,19 +59,64 @@
     balancer: balancer::Balancer,
     budgets: budget::Budgets,
     latencies: latency::Latencies,
-    client_wait: client_wait::Estimator,
+    answer_delay: answer_delay::Estimator,
 }
 
-/// The result of a query and its statistics for the log and the metrics.
+/// A completed query, for the response, the log and the metrics.
 pub struct Report {
     /// The result.
     pub completion: query::Completion,
     /// The number of answered parts.
     pub answered_count: usize,
-    /// The number of sends beyond the first one of each part.
-    pub extra_count: usize,
-    /// The sends without a successful answer and the parts that failed, for the log.
-    pub troubles: String,
+    /// When the query completed.
+    completed_us: u64,
+    query: query::Query,
+}
+
+impl Report {
+    fn new(query: query::Query, completion: query::Completion, completed_us: u64) -> Self {
+        let answered_count = match &completion {
+            query::Completion::Gathered(parts) => parts.iter().flatten().count(),
+            query::Completion::Single(_) => 1,
+            _ => query.answered_count(),
+        };
+        Self { completion, answered_count, completed_us, query }
+    }
+
+    /// Returns the number of sends beyond the first one of each part.
+    pub fn extra_count(&self) -> usize {
+        let sends = self.query.sends().iter();
+        sends.filter(|send| send.reason != query::Reason::First).count()
+    }
+
+    /// Describes the sends without a successful answer and the parts that failed, for the log.
+    pub fn troubles(&self) -> String {
+        let query = &self.query;
+        let mut troubles = String::new();
+        for send in query.sends() {
+            let (outcome, end_us) = send.ended.unwrap_or(("open", self.completed_us));
+            if outcome == "answered" {
+                continue;
+            }
+            let took_ms = end_us.saturating_sub(send.sent_us) / 1_000;
+            if !troubles.is_empty() {
+                troubles.push(' ');
+            }
+            troubles.push_str(&format!(
+                "{}:{}:{}:{outcome}:{took_ms}ms",
+                query.spec().services[send.part],
+                send.endpoint.id,
+                send.reason
+            ));
+        }
+        for (service, failure) in query.failures() {
+            if !troubles.is_empty() {
+                troubles.push(' ');
+            }
+            troubles.push_str(&format!("{service}:{failure}"));
+        }
+        troubles
+    }
 }
 
 impl Forwarder {
@@ -83,7 +134,7 @@
             balancer: balancer::Balancer::new(regions.clone()),
             budgets: budget::Budgets::new(rule),
             latencies: latency::Latencies::default(),
-            client_wait: client_wait::Estimator::default(),
+            answer_delay: answer_delay::Estimator::default(),
         };
         let active = arc_swap::ArcSwap::from_pointee(address::ActiveMembers::default());
         let answer_buffer = sync::Arc::new(answer_buffer::AnswerBuffer::new(ANSWERS_MAX_BYTES));
@@ -94,6 +145,7 @@
             active,
             metrics,
             answer_buffer,
+            last_answer_us: watch::Sender::new(None),
             shared: sync::Mutex::new(shared),
         }
     }
@@ -172,7 +224,8 @@
         names.sort_unstable();
         let mut shared = locks::lock(&self.shared);
         shared.latencies.retain_routes(&names);
-        shared.client_wait.retain_routes(&names);
+        drop(shared);
+        self.view.with_client_wait(|client_wait| client_wait.retain_routes(&names));
     }
 
     fn sync_members(&self) {
@@ -215,8 +268,35 @@
     /// client will wait for another `client_timeout_us`.
     pub fn waited_us(&self, route: &config::Route, client_timeout_us: u64) -> u64 {
         let target_us = route.target_latency_ms * 1_000;
-        let mut shared = locks::lock(&self.shared);
-        shared.client_wait.waited_us(clock::now_us(), &route.name, client_timeout_us, target_us)
+        self.view.with_client_wait(|client_wait| {
+            client_wait.waited_us(clock::now_us(), &route.name, client_timeout_us, target_us)
+        })
+    }
+
+    /// Returns how long before its target latency a query has to be complete.
+    pub fn answer_margin_us(&self) -> u64 {
+        locks::lock(&self.shared).answer_delay.margin_us()
+    }
+
+    fn record_wake(&self, delay_us: u64) {
+        locks::lock(&self.shared).answer_delay.record_wake(delay_us);
+    }
+
+    /// Records how long the response of a completed query took to build.
+    pub fn record_build(&self, duration_us: u64) {
+        locks::lock(&self.shared).answer_delay.record_build(duration_us);
+    }
+
+    /// Makes all queries end by `last_answer_us`, also those in progress.
+    pub fn limit_deadlines(&self, last_answer_us: u64) {
+        self.last_answer_us.send_replace(Some(last_answer_us));
+    }
+
+    /// Returns how long a request is expected to take at the most.
+    pub fn expected_duration_us(&self, spec: &query::Spec) -> u64 {
+        let shared = locks::lock(&self.shared);
+        let processing_us = shared.latencies.quantile_us(&spec.route, shutdown::QUANTILE);
+        shutdown::expected_duration_us(spec, processing_us)
     }
 
     /// Runs a query to completion. If the future is dropped, the sends of an idempotent request end shortly
@@ -228,20 +308,30 @@
     ) -> Report {
         let mut query = query::Query::new(spec);
         let (end_sender, mut end_receiver) = mpsc::unbounded_channel();
+        let mut limit = self.last_answer_us.subscribe();
         let first = self.decide(|now_us, context| query.start(now_us, context));
         self.spawn_sends(first, &query, &outgoing, &end_sender);
         loop {
+            if let Some(last_answer_us) = *limit.borrow_and_update() {
+                query.limit_deadline(last_answer_us);
+            }
             if let Some(completion) = query.completion(clock::now_us()) {
                 self.metrics.record_denied_hedges(query.hedges_denied());
-                return report(&query, completion);
+                return Report::new(query, completion, clock::now_us());
             }
-            let sleep_us = query.wake_at_us(clock::now_us()).saturating_sub(clock::now_us());
-            let wake = tokio::time::sleep(time::Duration::from_micros(sleep_us.max(500)));
+            let now_us = clock::now_us();
+            let sleep_us = query.wake_at_us(now_us).saturating_sub(now_us).max(SLEEP_MIN_US);
+            let wake = tokio::time::sleep(time::Duration::from_micros(sleep_us));
             let sends = tokio::select! {
                 Some((number, outcome)) = end_receiver.recv() => {
                     self.decide(|now_us, context| query.record_end(now_us, context, number, outcome))
                 }
-                () = wake => self.decide(|now_us, context| query.tick(now_us, context)),
+                () = wake => {
+                    self.record_wake(clock::now_us().saturating_sub(now_us + sleep_us));
+                    self.decide(|now_us, context| query.tick(now_us, context))
+                }
+                // Can't fail: `self` owns the sender.
+                _ = limit.changed() => Vec::new(),
             };
             self.spawn_sends(sends, &query, &outgoing, &end_sender);
         }
@@ -368,37 +458,3 @@
         removed = removed.join(" ")
     );
 }
-
-fn report(query: &query::Query, completion: query::Completion) -> Report {
-    let mut troubles = String::new();
-    let mut extra_count = 0;
-    for send in query.sends() {
-        extra_count += usize::from(send.reason != query::Reason::First);
-        let (outcome, end_us) = send.ended.unwrap_or(("open", clock::now_us()));
-        if outcome == "answered" {
-            continue;
-        }
-        let took_ms = end_us.saturating_sub(send.sent_us) / 1_000;
-        if !troubles.is_empty() {
-            troubles.push(' ');
-        }
-        troubles.push_str(&format!(
-            "{}:{}:{}:{outcome}:{took_ms}ms",
-            query.spec().services[send.part],
-            send.endpoint.id,
-            send.reason
-        ));
-    }
-    for (service, failure) in query.failures() {
-        if !troubles.is_empty() {
-            troubles.push(' ');
-        }
-        troubles.push_str(&format!("{service}:{failure}"));
-    }
-    let answered_count = match &completion {
-        query::Completion::Gathered(parts) => parts.iter().flatten().count(),
-        query::Completion::Single(_) => 1,
-        _ => query.answered_count(),
-    };
-    Report { completion, answered_count, extra_count, troubles }
-}
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -13,9 +13,11 @@
 use crate::forward::response;
 use crate::forward::retry_after;
 use crate::forward::run;
+use crate::forward::shutdown;
 use crate::ids;
 use crate::rate_limit;
 use bytes::Bytes;
+use compact_str::CompactString;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use hyper::server::conn::http1;
@@ -48,34 +50,31 @@
 /// The path on which metrics are served.
 pub const METRICS_PATH: &str = "/metrics";
 
-/// How far the shutdown has gone.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub enum ShutdownPhase {
-    /// Not shutting down.
-    #[default]
-    Serving,
-    /// No longer listed in the directory; a connection is closed after its next response.
-    Draining,
-    /// Idle connections are closed and no new ones are accepted.
-    Closing,
-}
-
 /// The state that the HTTP servers share.
 pub struct Server {
     view: sync::Arc<view::View>,
     forwarder: sync::Arc<run::Forwarder>,
-    phase: watch::Sender<ShutdownPhase>,
+    phase: watch::Sender<shutdown::Phase>,
     started_us: u64,
     connection_count: atomic::AtomicUsize,
     served_log_limit: rate_limit::RateLimit,
     troubled_log_limit: rate_limit::RateLimit,
 }
 
-/// When a request arrived, and how long its client had been waiting by then.
-#[derive(Clone, Copy, Debug)]
-struct RequestTiming {
-    arrived_us: u64,
+/// A request that was answered, for the log and the metrics.
+struct RequestRecord {
+    id: CompactString,
+    route: CompactString,
+    priority: u8,
+    target_ms: u64,
+    /// The number of parts of the query.
+    parts: usize,
+    config: config::ConfigVersion,
+    latency_us: u64,
+    /// How long the client had been waiting when the request arrived.
     waited_us: u64,
+    status: http::StatusCode,
+    report: run::Report,
 }
 
 /// Makes hyper close the client's connection without a response.
@@ -89,7 +88,7 @@
         Self {
             view,
             forwarder,
-            phase: watch::Sender::new(ShutdownPhase::Serving),
+            phase: watch::Sender::new(shutdown::Phase::Serving),
             started_us: clock::now_us(),
             connection_count: atomic::AtomicUsize::new(0),
             served_log_limit: rate_limit::RateLimit::new(SERVED_LOG_LINES_PER_S),
@@ -97,9 +96,17 @@
         }
     }
 
-    /// Moves on to the given phase of the shutdown.
-    pub fn set_phase(&self, phase: ShutdownPhase) {
-        self.phase.send_replace(phase);
+    /// Starts the shutdown: a connection is closed after its next response, and all requests are answered before
+    /// `last_answer_us`.
+    pub fn start_draining(&self, last_answer_us: u64) {
+        self.phase.send_replace(shutdown::Phase::Draining { last_answer_us });
+        self.forwarder.limit_deadlines(last_answer_us);
+    }
+
+    /// Closes idle connections and accepts no new ones.
+    pub fn start_closing(&self) {
+        let last_answer_us = self.phase.borrow().last_answer_us().unwrap_or_else(clock::now_us);
+        self.phase.send_replace(shutdown::Phase::Closing { last_answer_us });
     }
 
     /// The number of open client connections.
@@ -107,11 +114,13 @@
         self.connection_count.load(atomic::Ordering::Relaxed)
     }
 
-    /// Serves client requests until [`ShutdownPhase::Closing`].
+    /// Serves client requests until [`shutdown::Phase::Closing`].
     pub async fn serve_clients(self: sync::Arc<Self>, listener: TcpListener) {
         let mut phase = self.phase.subscribe();
         loop {
+            // Biased, so that connections that clients have already opened are accepted before the listener closes.
             let accepted = tokio::select! {
+                biased;
                 accepted = listener.accept() => accepted,
                 () = wait_for_closing(&mut phase) => return,
             };
@@ -147,7 +156,9 @@
         }
         let mut connection = Box::pin(builder.serve_connection(TokioIo::new(stream), service));
         let mut phase = self.phase.subscribe();
+        // Biased, so that a request that has arrived is read before an idle connection is closed.
         let served = tokio::select! {
+            biased;
             served = connection.as_mut() => served,
             () = wait_for_closing(&mut phase) => {
                 connection.as_mut().graceful_shutdown();
@@ -161,7 +172,7 @@
     }
 
     async fn handle_request(
-        &self,
+        self: &sync::Arc<Self>,
         request: http::Request<hyper::body::Incoming>,
     ) -> Result<response::Response, AbortConnection> {
         let arrived_us = clock::now_us();
@@ -206,7 +217,11 @@
         let waited_us = deadline_ms.map_or(0, |deadline_ms| {
             self.forwarder.waited_us(route, deadline_ms.saturating_mul(1_000))
         });
-        let spec = query::Spec { waited_us, ..spec(route, arrived_us, timeout_us) };
+        let margin_us = self.forwarder.answer_margin_us();
+        let spec = query::Spec { waited_us, margin_us, ..spec(route, arrived_us, timeout_us) };
+        if self.is_refused_by_shutdown(&id, &spec) {
+            return Ok(self.close_if_stopping(response::refuse(shutdown::RETRY_AFTER_MS)));
+        }
         let outgoing = attempt::OutgoingRequest {
             method: head.method,
             uri: header::origin_form(&head.uri),
@@ -225,9 +240,25 @@
             let running = tokio::spawn(async move { forwarder.run(spec, outgoing).await });
             running.await.map_err(|_| AbortConnection)?
         };
+        let completed_us = clock::now_us();
         let response = self.respond(&report, route);
-        let timing = RequestTiming { arrived_us, waited_us };
-        self.record_request(&id, route, &table.config, timing, &report, response.status());
+        let built_us = clock::now_us();
+        self.forwarder.record_build(built_us.saturating_sub(completed_us));
+        let record = RequestRecord {
+            id,
+            route: route.name.clone(),
+            priority: route.priority,
+            target_ms: route.target_latency_ms,
+            parts: route.target.parts(),
+            config: table.config.version,
+            latency_us: built_us.saturating_sub(arrived_us),
+            waited_us,
+            status: response.status(),
+            report,
+        };
+        let server = self.clone();
+        // In a task of its own, so that the response is written first.
+        tokio::spawn(async move { server.record_request(&record) });
         Ok(self.close_if_stopping(response))
     }
 
@@ -237,9 +268,35 @@
         response::refuse(retry_after::unready_ms(waiting_us))
     }
 
+    /// Whether the instance stops before it expects to answer the request.
+    fn is_refused_by_shutdown(&self, id: &str, spec: &query::Spec) -> bool {
+        let Some(last_answer_us) = self.phase.borrow().last_answer_us() else {
+            return false;
+        };
+        let now_us = clock::now_us();
+        let expected_us = self.forwarder.expected_duration_us(spec);
+        if shutdown::accepts(now_us, last_answer_us, expected_us) {
+            return false;
+        }
+        let latency_s = now_us.saturating_sub(spec.arrived_us) as f64 / 1e6;
+        self.forwarder.metrics().record_answer(spec.priority, "refused", latency_s, 0);
+        if let Some(left_out) = self.troubled_log_limit.allow(now_us) {
+            event!(
+                info,
+                Event::RefusedByShutdown,
+                request = %id,
+                route = %spec.route,
+                expected_ms = expected_us / 1_000,
+                left_ms = last_answer_us.saturating_sub(now_us) / 1_000,
+                left_out
+            );
+        }
+        true
+    }
+
     /// Adds `Connection: close` during a shutdown, so that this response is the connection's last.
     fn close_if_stopping(&self, mut response: response::Response) -> response::Response {
-        if *self.phase.borrow() != ShutdownPhase::Serving {
+        if *self.phase.borrow() != shutdown::Phase::Serving {
             let close = http::HeaderValue::from_static("close");
             response.headers_mut().insert(http::header::CONNECTION, close);
         }
@@ -258,28 +315,18 @@
     }
 
     /// Records how a request ended in the metrics and, within the rate limits, in the log.
-    fn record_request(
-        &self,
-        id: &str,
-        route: &config::Route,
-        config: &config::Config,
-        timing: RequestTiming,
-        report: &run::Report,
-        status: http::StatusCode,
-    ) {
-        let latency_ms = clock::now_us().saturating_sub(timing.arrived_us) as f64 / 1_000.0;
-        let waited_ms = timing.waited_us as f64 / 1_000.0;
-        let is_late = latency_ms + waited_ms > route.target_latency_ms as f64;
-        let outcome = outcome(&report.completion, status, is_late);
-        let parts = match &route.target {
-            config::Target::Gather(gather) => gather.shards.len(),
-            _ => 1,
-        };
+    fn record_request(&self, record: &RequestRecord) {
+        let report = &record.report;
+        let latency_ms = record.latency_us as f64 / 1_000.0;
+        let waited_ms = record.waited_us as f64 / 1_000.0;
+        let is_late = latency_ms + waited_ms > record.target_ms as f64;
+        let is_success = record.status.is_success();
+        let outcome = outcome(&report.completion, record.status, is_late);
         let is_complete_and_in_time =
-            status.is_success() && !is_late && report.answered_count == parts;
-        let missing = if status.is_success() { parts - report.answered_count } else { 0 };
+            is_success && !is_late && report.answered_count == record.parts;
+        let missing = if is_success { record.parts - report.answered_count } else { 0 };
         let latency_s = latency_ms / 1_000.0;
-        self.forwarder.metrics().record_answer(route.priority, outcome, latency_s, missing);
+        self.forwarder.metrics().record_answer(record.priority, outcome, latency_s, missing);
         let ages = self.view.ages();
         let now_us = clock::now_us();
         if is_complete_and_in_time {
@@ -289,10 +336,10 @@
             event!(
                 info,
                 Event::RequestServed,
-                request = %id,
-                route = %route.name,
+                request = %record.id,
+                route = %record.route,
                 latency_ms,
-                config = config.version.0,
+                config = record.config.0,
                 left_out
             );
             return;
@@ -303,21 +350,21 @@
         event!(
             info,
             Event::RequestTroubled,
-            request = %id,
-            route = %route.name,
-            priority = route.priority,
+            request = %record.id,
+            route = %record.route,
+            priority = record.priority,
             outcome,
-            status = status.as_u16(),
+            status = record.status.as_u16(),
             latency_ms,
             waited_ms,
-            target_ms = route.target_latency_ms,
+            target_ms = record.target_ms,
             parts = report.answered_count,
-            parts_wanted = parts,
-            extra_sends = report.extra_count,
-            config = config.version.0,
+            parts_wanted = record.parts,
+            extra_sends = report.extra_count(),
+            config = record.config.0,
             config_age_ms = ages.config_us.map(|us| us / 1_000),
             searchers_age_ms = ages.searchers_us.map(|us| us / 1_000),
-            troubles = %report.troubles,
+            troubles = %report.troubles(),
             left_out
         );
     }
@@ -388,10 +435,10 @@
     }
 }
 
-/// Waits for [`ShutdownPhase::Closing`].
-async fn wait_for_closing(phase: &mut watch::Receiver<ShutdownPhase>) {
+/// Waits for [`shutdown::Phase::Closing`].
+async fn wait_for_closing(phase: &mut watch::Receiver<shutdown::Phase>) {
     // Fails only if the `Server` was dropped, which happens at the end of the process.
-    let _ = phase.wait_for(|phase| *phase == ShutdownPhase::Closing).await;
+    let _ = phase.wait_for(|phase| matches!(phase, shutdown::Phase::Closing { .. })).await;
 }
 
 /// Serves requests that are answered at once from their URI alone.
@@ -448,7 +495,8 @@
     }
 }
 
-/// Builds the spec of a query for a request on `route`, as if its client had not waited before.
+/// Builds the spec of a query for a request on `route`, as if its client had not waited before and answers arrived
+/// at once.
 fn spec(route: &config::Route, arrived_us: u64, timeout_us: u64) -> query::Spec {
     let (services, parts_min, is_gather) = match &route.target {
         config::Target::Service(service) => (vec![service.clone()], 1, false),
@@ -466,6 +514,7 @@
         arrived_us,
         waited_us: 0,
         target_us: route.target_latency_ms * 1_000,
+        margin_us: 0,
         timeout_us,
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -77,6 +77,8 @@
 const DRAIN_TIME: time::Duration = time::Duration::from_millis(3_200);
 /// How long before it would be killed an instance exits by itself.
 const GRACE_MARGIN: time::Duration = time::Duration::from_millis(400);
+/// How long before it exits an instance gives the last answers: the time to write them over slow links.
+const LAST_ANSWER_MARGIN: time::Duration = time::Duration::from_millis(300);
 /// How often an instance that stops checks whether all connections are closed.
 const IDLE_POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// How often an instance that starts checks whether it is ready.
@@ -183,7 +185,8 @@
 }
 
 /// Shuts down gracefully: first the instance is removed from the directory, then idle connections are
-/// closed, and it waits for the requests in progress, for as long as `grace` allows.
+/// closed, and it waits for the requests in progress, for as long as `grace` allows. Those that have no answer shortly
+/// before it exits are answered as timed out.
 async fn stop(view: &view::View, server: &server::Server, grace: time::Duration) {
     event!(info, Event::InstanceStopping, open_connections = server.connection_count());
     let started_us = clock::now_us();
@@ -192,10 +195,11 @@
         let reaches_store = members.me().reaches_store;
         members.set_me(members::MemberState::Draining, reaches_store)
     });
-    server.set_phase(server::ShutdownPhase::Draining);
     let time_limit = grace.saturating_sub(GRACE_MARGIN);
+    let answer_time = time_limit.saturating_sub(LAST_ANSWER_MARGIN);
+    server.start_draining(started_us + answer_time.as_micros() as u64);
     tokio::time::sleep(DRAIN_TIME.min(time_limit / 2)).await;
-    server.set_phase(server::ShutdownPhase::Closing);
+    server.start_closing();
     while server.connection_count() > 0 && elapsed() < time_limit {
         tokio::time::sleep(IDLE_POLL_INTERVAL).await;
     }
--- a/tests/forward_support/mod.rs
+++ b/tests/forward_support/mod.rs
@@ -109,6 +109,7 @@
         arrived_us: START_US,
         waited_us: 0,
         target_us: 250_000,
+        margin_us: 10_000,
         timeout_us: 1_500_000,
     }
 }
