Follow what readers report about themselves

Lists of members name readers since, and took their records from any list, so that an instance could follow a reader that had lost the store because another source still listed it as fit. What a source or subscriber reports about itself goes before what others list, and only that is passed on. Since instances may disagree on who reads, each source sends searchers to all subscribers of its region again, whatever it takes itself for.

--- a/src/discovery/client_wait.rs
+++ b/src/discovery/client_wait.rs
@@ -128,7 +128,8 @@
         if timeout_us == known.timeout_us {
             known.stated_us = known.stated_us.max(stated_us);
             known.own_stated_us = known.own_stated_us.max(own_stated_us);
-        } else if timeout_us > known.timeout_us || now_us - known.stated_us >= KEEP_US {
+        } else if timeout_us > known.timeout_us || now_us.saturating_sub(known.stated_us) >= KEEP_US
+        {
             *known = entry;
             self.raised_count += 1;
         }
--- a/src/discovery/members.rs
+++ b/src/discovery/members.rs
@@ -59,8 +59,8 @@
     parent: Option<net::SocketAddr>,
     /// The names of the instances that this one sends large updates to, sorted.
     children: Vec<ids::InstanceName>,
-    /// The readers as of the last [`Members::update_tree`].
-    known_readers: Vec<Member>,
+    /// The names of the readers as of the last [`Members::update_tree`].
+    reader_names: Vec<ids::InstanceName>,
 }
 
 #[derive(Clone, Debug)]
@@ -72,6 +72,13 @@
     expires_us: Option<u64>,
 }
 
+impl SourceMembers {
+    /// What the source reported about itself; `None` once its connection is lost.
+    fn self_report(&self) -> Option<&Member> {
+        self.members.iter().find(|member| member.control == self.source)
+    }
+}
+
 /// How long the members reported by a lost source stay live; they connect to another source meanwhile.
 const LOST_SOURCE_KEEP_US: u64 = 2_000_000;
 /// How long an instance that stopped responding ranks last as a reader: as long as a machine usually freezes.
@@ -89,7 +96,7 @@
             unresponsive: Vec::new(),
             parent: None,
             children: Vec::new(),
-            known_readers: Vec::new(),
+            reader_names: Vec::new(),
         }
     }
 
@@ -141,20 +148,17 @@
     /// This instance and the readers that it is connected to, sorted by name: the list it publishes to subscribers in
     /// other regions. A subscriber that has found any instance learns from it which ones to follow.
     ///
-    /// Only readers with an open connection count. If instances passed on what they were told, two of them could keep
-    /// telling each other of a third that is gone.
+    /// Only what a reader reports about itself over an open connection counts. If instances passed on what they were
+    /// told, two of them could keep telling each other of a third that is gone or has changed.
     pub fn connected_readers(&self) -> Vec<Member> {
         let mut readers: Vec<Member> = vec![self.me.clone()];
-        for reader in &self.known_readers {
-            let is_subscriber = self.subscribers.iter().any(|known| known == reader);
-            let is_source = self.sources.iter().any(|known| {
-                known.source == reader.control
-                    && known.expires_us.is_none()
-                    && known.members.iter().any(|member| member.name == reader.name)
+        for name in &self.reader_names {
+            let subscriber = self.subscribers.iter().find(|known| known.name == *name);
+            let mut sources = self.sources.iter().filter(|known| known.expires_us.is_none());
+            let reader = subscriber.or_else(|| {
+                sources.find_map(|known| known.self_report().filter(|source| source.name == *name))
             });
-            if reader.name != self.me.name && (is_subscriber || is_source) {
-                readers.push(reader.clone());
-            }
+            readers.extend(reader.cloned());
         }
         readers.sort_by(|a, b| a.name.cmp(&b.name));
         readers
@@ -215,12 +219,13 @@
     pub fn live(&self) -> Vec<&Member> {
         let mut members: Vec<&Member> = vec![&self.me];
         members.extend(&self.subscribers);
+        members.extend(self.sources.iter().filter_map(SourceMembers::self_report));
         for known in &self.sources {
             members.extend(&known.members);
         }
-        // For each name the latest boot comes first, and within it what this instance or a subscriber reported about
-        // itself: the sort is stable, and these were added first. Among the members reported by sources, those of
-        // the source that was added first come first.
+        // For each name the latest boot comes first, and within it what this instance, a subscriber or a source reported
+        // about itself: the sort is stable, and these were added first. Among the members reported by others, those
+        // of the source that was added first come first.
         members.sort_by(|a, b| a.name.cmp(&b.name).then(b.boot_ms.cmp(&a.boot_ms)));
         members.dedup_by(|a, b| a.name == b.name);
         members
@@ -238,10 +243,11 @@
         let mut children: Vec<ids::InstanceName> =
             tree.children(&self.me).iter().map(|child| child.name.clone()).collect();
         children.sort();
-        let known_readers = first_readers(&ranked).into_iter().cloned().collect();
+        let reader_names =
+            first_readers(&ranked).iter().map(|reader| reader.name.clone()).collect();
         self.parent = parent;
         self.children = children;
-        self.known_readers = known_readers;
+        self.reader_names = reader_names;
     }
 
     /// The control address of the instance that sends large updates to this one; `None` if this one reads the store for
@@ -250,11 +256,6 @@
         self.parent
     }
 
-    /// Whether this instance sends the searchers and the members to the others of its region without being asked.
-    pub fn sends_state(&self) -> bool {
-        self.known_readers.iter().any(|reader| reader.name == self.me.name)
-    }
-
     /// Whether this instance sends large updates to the one with this name.
     pub fn feeds(&self, name: &ids::InstanceName) -> bool {
         self.children.binary_search(name).is_ok()
--- a/src/discovery/publisher.rs
+++ b/src/discovery/publisher.rs
@@ -222,11 +222,6 @@
         self.subscriber.as_ref().is_some_and(|member| member.region == region)
     }
 
-    /// Whether this instance sends the searchers to the subscriber without being asked.
-    fn sends_state(&self) -> bool {
-        self.is_same_region() && self.view.with_members(|members| members.sends_state())
-    }
-
     /// Whether this instance sends configurations to the subscriber.
     fn feeds_config(&self) -> bool {
         let Some(subscriber) = &self.subscriber else {
@@ -275,7 +270,7 @@
     /// Sends a heartbeat and, within the region, the searchers and the members, but not the configuration: the
     /// subscriber requests it if the heartbeat has a newer version.
     async fn send_all(&mut self) -> Result<(), frame::FrameError> {
-        self.needs_searchers = self.sends_state();
+        self.needs_searchers = self.is_same_region();
         let now = Instant::now();
         let changed_at = self.members_change.map_or(now, |change| change.changed_at);
         self.members_change = Some(MembersChange { changed_at, due_at: now });
@@ -293,7 +288,7 @@
                 self.members_change.get_or_insert(MembersChange { changed_at: now, due_at });
                 Ok(())
             }
-            feed::Update::Searchers(_) if !self.sends_state() => Ok(()),
+            feed::Update::Searchers(_) if !self.is_same_region() => Ok(()),
             feed::Update::Config(_) | feed::Update::ConfigDelta(_) if !self.feeds_config() => {
                 self.send_heartbeat().await
             }
