--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -15,5 +15,4 @@
 pub mod store_client;
 pub mod subscriber;
 pub mod table;
-pub mod tree;
 pub mod view;
--- a/src/discovery/feed.rs
+++ b/src/discovery/feed.rs
@@ -48,8 +48,7 @@
     },
     /// The changed searchers, for subscribers in the source's region.
     Searchers(Vec<registry::SearcherChange>),
-    /// The source, the readers that it is connected to and, for a subscriber in the same region, all instances connected
-    /// to it.
+    /// The source and all instances connected to it.
     Members(Vec<members::Member>),
     /// The complete configuration.
     Config(Box<config::Config>),
--- a/src/discovery/members.rs
+++ b/src/discovery/members.rs
@@ -1,6 +1,5 @@
 //! The instances of the deployment: which are alive, which read the store and which accept clients.
 
-use crate::discovery::tree;
 use crate::ids;
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -55,12 +54,6 @@
     sources: Vec<SourceMembers>,
     /// Control addresses of instances that stopped responding, and until when they rank last as readers.
     unresponsive: Vec<(net::SocketAddr, u64)>,
-    /// The instance that sends large updates to this one; `None` if this one reads the store for its region.
-    parent: Option<net::SocketAddr>,
-    /// The names of the instances that this one sends large updates to, sorted.
-    children: Vec<ids::InstanceName>,
-    /// The names of the readers as of the last [`Members::update_tree`].
-    reader_names: Vec<ids::InstanceName>,
 }
 
 #[derive(Clone, Debug)]
@@ -72,13 +65,6 @@
     expires_us: Option<u64>,
 }
 
-impl SourceMembers {
-    /// What the source reported about itself; `None` once its connection is lost.
-    fn self_report(&self) -> Option<&Member> {
-        self.members.iter().find(|member| member.control == self.source)
-    }
-}
-
 /// How long the members reported by a lost source stay live; they connect to another source meanwhile.
 const LOST_SOURCE_KEEP_US: u64 = 2_000_000;
 /// How long an instance that stopped responding ranks last as a reader: as long as a machine usually freezes.
@@ -89,15 +75,7 @@
 impl Members {
     /// Creates a list that contains only this instance.
     pub fn new(me: Member) -> Self {
-        Self {
-            me,
-            subscribers: Vec::new(),
-            sources: Vec::new(),
-            unresponsive: Vec::new(),
-            parent: None,
-            children: Vec::new(),
-            reader_names: Vec::new(),
-        }
+        Self { me, subscribers: Vec::new(), sources: Vec::new(), unresponsive: Vec::new() }
     }
 
     /// This instance.
@@ -135,35 +113,14 @@
         self.subscribers.len() != before
     }
 
-    /// This instance, those connected to it and the readers that it is connected to, sorted by name: the list it
-    /// publishes to subscribers in its region.
+    /// This instance and those connected to it, sorted by name: the list it publishes to subscribers.
     pub fn connected_members(&self) -> Vec<Member> {
         let mut members = self.subscribers.clone();
-        members.extend(self.connected_readers());
-        members.sort_by(|a, b| a.name.cmp(&b.name).then(b.boot_ms.cmp(&a.boot_ms)));
-        members.dedup_by(|a, b| a.name == b.name);
+        members.push(self.me.clone());
+        members.sort_by(|a, b| a.name.cmp(&b.name));
         members
     }
 
-    /// This instance and the readers that it is connected to, sorted by name: the list it publishes to subscribers in
-    /// other regions. A subscriber that has found any instance learns from it which ones to follow.
-    ///
-    /// Only what a reader reports about itself over an open connection counts. If instances passed on what they were
-    /// told, two of them could keep telling each other of a third that is gone or has changed.
-    pub fn connected_readers(&self) -> Vec<Member> {
-        let mut readers: Vec<Member> = vec![self.me.clone()];
-        for name in &self.reader_names {
-            let subscriber = self.subscribers.iter().find(|known| known.name == *name);
-            let mut sources = self.sources.iter().filter(|known| known.expires_us.is_none());
-            let reader = subscriber.or_else(|| {
-                sources.find_map(|known| known.self_report().filter(|source| source.name == *name))
-            });
-            readers.extend(reader.cloned());
-        }
-        readers.sort_by(|a, b| a.name.cmp(&b.name));
-        readers
-    }
-
     /// Replaces the members reported by a source, which counts as connected and responsive again. Returns
     /// whether anything changed.
     pub fn set_source_members(&mut self, source: net::SocketAddr, members: Vec<Member>) -> bool {
@@ -219,66 +176,44 @@
     pub fn live(&self) -> Vec<&Member> {
         let mut members: Vec<&Member> = vec![&self.me];
         members.extend(&self.subscribers);
-        members.extend(self.sources.iter().filter_map(SourceMembers::self_report));
         for known in &self.sources {
             members.extend(&known.members);
         }
-        // For each name the latest boot comes first, and within it what this instance, a subscriber or a source reported
-        // about itself: the sort is stable, and these were added first. Among the members reported by others, those
-        // of the source that was added first come first.
+        // For each name the latest boot comes first, and within it what this instance or a subscriber reported about
+        // itself: the sort is stable, and these were added first. Among the members reported by sources, those of
+        // the source that was added first come first.
         members.sort_by(|a, b| a.name.cmp(&b.name).then(b.boot_ms.cmp(&a.boot_ms)));
         members.dedup_by(|a, b| a.name == b.name);
         members
     }
 
-    /// Recomputes who sends large updates to whom. To be called after a change.
-    pub fn update_tree(&mut self) {
-        let ranked = self.ranked();
-        let root = ranked.iter().find(|member| member.region == self.me.region);
-        let Some(root) = root else {
-            return;
-        };
-        let tree = tree::Tree::new(root, &ranked);
-        let parent = tree.parent(&self.me).map(|parent| parent.control);
-        let mut children: Vec<ids::InstanceName> =
-            tree.children(&self.me).iter().map(|child| child.name.clone()).collect();
-        children.sort();
-        let reader_names =
-            first_readers(&ranked).iter().map(|reader| reader.name.clone()).collect();
-        self.parent = parent;
-        self.children = children;
-        self.reader_names = reader_names;
-    }
-
-    /// The control address of the instance that sends large updates to this one; `None` if this one reads the store for
-    /// its region.
-    pub fn parent(&self) -> Option<net::SocketAddr> {
-        self.parent
-    }
-
-    /// Whether this instance sends large updates to the one with this name.
-    pub fn feeds(&self, name: &ids::InstanceName) -> bool {
-        self.children.binary_search(name).is_ok()
-    }
-
-    /// All members in the order in which they become readers, which is the same on all instances. Those that can't reach
-    /// the store, are draining or have stopped responding rank last.
-    fn ranked(&self) -> Vec<&Member> {
+    /// The instances that read the store: the first of each region in an order that is the same on all
+    /// instances, and more up to a minimum number. Instances that can't reach the store, are draining or
+    /// have stopped responding rank last.
+    pub fn readers(&self) -> Vec<&Member> {
         let mut ranked = self.live();
-        ranked.sort_by_cached_key(|member| {
+        ranked.sort_by_key(|member| {
             let unresponsive =
                 self.unresponsive.iter().any(|(address, _)| *address == member.control);
             let unfit =
                 !member.reaches_store || member.state == MemberState::Draining || unresponsive;
             (unfit, xxh3::xxh3_64(member.name.as_str().as_bytes()))
         });
-        ranked
-    }
-
-    /// The instances that read the store: the first of each region in an order that is the same on all
-    /// instances, and more up to a minimum number.
-    pub fn readers(&self) -> Vec<&Member> {
-        first_readers(&self.ranked())
+        let mut readers: Vec<&Member> = Vec::new();
+        for member in &ranked {
+            if readers.iter().all(|reader| reader.region != member.region) {
+                readers.push(member);
+            }
+        }
+        for member in &ranked {
+            if readers.len() >= READERS_MIN {
+                break;
+            }
+            if readers.iter().all(|reader| reader.name != member.name) {
+                readers.push(member);
+            }
+        }
+        readers
     }
 
     /// Whether this instance is one of [`Members::readers`].
@@ -286,22 +221,3 @@
         self.readers().iter().any(|reader| reader.name == self.me.name)
     }
 }
-
-/// The first member of each region, and more up to [`READERS_MIN`].
-fn first_readers<'a>(ranked: &[&'a Member]) -> Vec<&'a Member> {
-    let mut readers: Vec<&'a Member> = Vec::new();
-    for member in ranked {
-        if readers.iter().all(|reader| reader.region != member.region) {
-            readers.push(member);
-        }
-    }
-    for member in ranked {
-        if readers.len() >= READERS_MIN {
-            break;
-        }
-        if readers.iter().all(|reader| reader.name != member.name) {
-            readers.push(member);
-        }
-    }
-    readers
-}
--- a/src/discovery/publisher.rs
+++ b/src/discovery/publisher.rs
@@ -81,7 +81,6 @@
         members_change: None,
         planned: None,
         timeouts_told: None,
-        readers_told: Vec::new(),
     };
     if let Err(error) = session.run(received).await {
         tracing::debug!(%error, %peer, "connection from subscriber ended");
@@ -157,8 +156,6 @@
     planned: Option<PlannedFrame>,
     /// The number of changes of clients' timeouts when they were last told, and when that was.
     timeouts_told: Option<(u64, u64)>,
-    /// The readers that a subscriber in another region was told last.
-    readers_told: Vec<members::Member>,
 }
 
 impl Session {
@@ -210,9 +207,7 @@
         if !is_new {
             return Ok(());
         }
-        let has_none = config == config::ConfigVersion::default();
-        let is_sent_here = self.feeds_config() || has_none && self.is_same_region();
-        self.needs_config = is_sent_here && config < self.view.config_version();
+        self.needs_config = config < self.view.config_version();
         self.send_all().await
     }
 
@@ -222,31 +217,15 @@
         self.subscriber.as_ref().is_some_and(|member| member.region == region)
     }
 
-    /// Whether this instance sends configurations to the subscriber.
-    fn feeds_config(&self) -> bool {
-        let Some(subscriber) = &self.subscriber else {
-            return false;
-        };
-        self.view.with_members(|members| members.feeds(&subscriber.name))
-    }
-
-    /// Plans the members. Subscribers in other regions are told the readers only; they get the members from a reader of
-    /// their own region.
+    /// Plans the members if the subscriber is in the same region; subscribers in other regions get them from a
+    /// reader of their own region.
     fn plan_members(&mut self) -> Result<(), frame::FrameError> {
-        let Some(change) = self.members_change.take() else {
+        let Some(change) = self.members_change.take().filter(|_| self.is_same_region()) else {
             return Ok(());
         };
-        if self.is_same_region() {
-            self.metrics.record_members_delay(change.changed_at.elapsed().as_secs_f64());
-            let members = self.view.with_members(|members| members.connected_members());
-            return self.plan(&feed::Update::Members(members), false);
-        }
-        let readers = self.view.with_members(|members| members.connected_readers());
-        if readers == self.readers_told {
-            return Ok(());
-        }
-        self.readers_told.clone_from(&readers);
-        self.plan(&feed::Update::Members(readers), false)
+        self.metrics.record_members_delay(change.changed_at.elapsed().as_secs_f64());
+        let members = self.view.with_members(|members| members.connected_members());
+        self.plan(&feed::Update::Members(members), false)
     }
 
     /// Plans the next of the requested updates, unless one is planned already.
@@ -277,9 +256,9 @@
         self.send_heartbeat().await
     }
 
-    /// Forwards an update. Searchers go to subscribers in the same region only, configurations to this instance's
-    /// children in the [`crate::discovery::tree`]: traffic between regions is expensive, and subscribers request what
-    /// the instance that should has not sent.
+    /// Forwards an update. Searchers and configurations go to subscribers in the same region only: traffic
+    /// between regions is expensive, and subscribers elsewhere request what the reader of their own region
+    /// has not sent.
     async fn forward(&mut self, update: &feed::Update) -> Result<(), frame::FrameError> {
         match update {
             feed::Update::Members(_) => {
@@ -289,7 +268,7 @@
                 Ok(())
             }
             feed::Update::Searchers(_) if !self.is_same_region() => Ok(()),
-            feed::Update::Config(_) | feed::Update::ConfigDelta(_) if !self.feeds_config() => {
+            feed::Update::Config(_) | feed::Update::ConfigDelta(_) if !self.is_same_region() => {
                 self.send_heartbeat().await
             }
             _ => self.plan(update, false),
--- a/src/discovery/subscriber.rs
+++ b/src/discovery/subscriber.rs
@@ -35,9 +35,9 @@
 const FETCH_DELAY_MIN_US: u64 = 400_000;
 /// The longest such delay; it doubles with each request as long as the states differ.
 const FETCH_DELAY_MAX_US: u64 = 3_200_000;
-/// The first delay for a source that should not send the state, as a share of the time in which changes have to take
-/// effect: large updates are sent to one instance after the other, and through relays.
-const OTHER_SOURCE_FETCH_SHARE: f64 = 0.3;
+/// The first delay for a source in another region, as a share of the time in which changes have to take effect: the
+/// reader of the own region sends large updates to one instance after the other.
+const OTHER_REGION_FETCH_SHARE: f64 = 0.3;
 /// How long after the start connections to seeds that are not readers are kept.
 const SEED_CONNECTION_US: u64 = 4_000_000;
 
@@ -50,7 +50,7 @@
     bounds: reader::Bounds,
 ) {
     let change_bound = bounds.config_apply.min(bounds.drain);
-    let other_source_delay_us = change_bound.mul_f64(OTHER_SOURCE_FETCH_SHARE).as_micros() as u64;
+    let other_region_delay_us = change_bound.mul_f64(OTHER_REGION_FETCH_SHARE).as_micros() as u64;
     let started_us = clock::now_us();
     let mut sources: Vec<(net::SocketAddr, task::JoinHandle<()>)> = Vec::new();
     let mut members_changed = view.members_epoch();
@@ -75,7 +75,7 @@
             }
             sources.push((
                 address,
-                tokio::spawn(maintain_connection(address, view.clone(), other_source_delay_us)),
+                tokio::spawn(maintain_connection(address, view.clone(), other_region_delay_us)),
             ));
         }
         // `changed` can't fail: this task holds the view, which owns the sender.
@@ -93,7 +93,6 @@
         let me = members.me().control;
         let mut selected: Vec<net::SocketAddr> =
             members.readers().iter().map(|reader| reader.control).collect();
-        selected.extend(members.parent());
         let is_alone = members.live().len() == 1;
         if is_alone || uptime_us < SEED_CONNECTION_US {
             selected.extend(seeds);
@@ -109,7 +108,7 @@
 async fn maintain_connection(
     address: net::SocketAddr,
     view: sync::Arc<view::View>,
-    other_source_delay_us: u64,
+    other_region_delay_us: u64,
 ) {
     loop {
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
@@ -117,7 +116,7 @@
             Ok(Ok(stream)) => {
                 event!(info, Event::SourceConnected, source = %address);
                 let ended =
-                    SourceConnection::new(address, &view, other_source_delay_us).run(stream).await;
+                    SourceConnection::new(address, &view, other_region_delay_us).run(stream).await;
                 event!(info, Event::SourceLost, source = %address, reason = %ended);
                 ended
             }
@@ -158,8 +157,8 @@
 struct SourceConnection<'a> {
     address: net::SocketAddr,
     view: &'a view::View,
-    /// The first delay of requests if another source should send the state.
-    other_source_delay_us: u64,
+    /// The first delay of requests if the source is in another region.
+    other_region_delay_us: u64,
     /// When to request a configuration that the source has and this instance lacks.
     config_fetch_delay: FetchDelay,
     /// The same for searchers.
@@ -169,11 +168,11 @@
 }
 
 impl<'a> SourceConnection<'a> {
-    fn new(address: net::SocketAddr, view: &'a view::View, other_source_delay_us: u64) -> Self {
+    fn new(address: net::SocketAddr, view: &'a view::View, other_region_delay_us: u64) -> Self {
         Self {
             address,
             view,
-            other_source_delay_us,
+            other_region_delay_us,
             config_fetch_delay: FetchDelay::default(),
             searchers_fetch_delay: FetchDelay::default(),
             timeouts_told: None,
@@ -301,7 +300,7 @@
             return false;
         }
         let has_none = self.view.ages().searchers_us.is_none();
-        let delay_us = self.first_searchers_delay_us();
+        let delay_us = self.first_fetch_delay_us();
         self.searchers_fetch_delay.is_due(clock::now_us(), has_none, delay_us)
     }
 
@@ -321,29 +320,19 @@
             return false;
         }
         let has_none = own_version == config::ConfigVersion::default();
-        let delay_us = self.first_config_delay_us();
+        let delay_us = self.first_fetch_delay_us();
         self.config_fetch_delay.is_due(clock::now_us(), has_none, delay_us)
     }
 
-    /// The delay from when this instance learns that the source has a newer configuration until it requests it: longer
-    /// if another instance should send it.
-    fn first_config_delay_us(&self) -> u64 {
-        if self.view.with_members(|members| members.parent()) == Some(self.address) {
-            FETCH_DELAY_MIN_US
-        } else {
-            self.other_source_delay_us.max(FETCH_DELAY_MIN_US)
-        }
-    }
-
-    /// The delay from when this instance learns that the source has other searchers until it requests them.
-    fn first_searchers_delay_us(&self) -> u64 {
+    /// The delay from when this instance learns that the source has other state until it requests that state.
+    fn first_fetch_delay_us(&self) -> u64 {
         let is_other_region = self.view.with_members(|members| {
             let live = members.live();
             let source = live.iter().find(|member| member.control == self.address);
             source.is_some_and(|source| source.region != members.me().region)
         });
         if is_other_region {
-            self.other_source_delay_us.max(FETCH_DELAY_MIN_US)
+            self.other_region_delay_us.max(FETCH_DELAY_MIN_US)
         } else {
             FETCH_DELAY_MIN_US
         }
--- a/src/discovery/view.rs
+++ b/src/discovery/view.rs
@@ -288,7 +288,6 @@
             if !change(&mut inner.members) {
                 return;
             }
-            inner.members.update_tree();
             let connected = inner.members.connected_members();
             let is_changed = connected != inner.published_members;
             inner.published_members.clone_from(&connected);
