--- a/review/standin/base.rs
+++ b/review/standin/base.rs
@@ -159,11 +159,6 @@
     pub fn receive(&mut self) -> io::Result<Message> {
         read_message(&mut self.reader)?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
     }
-
-    /// The stream, for what the other methods don't do.
-    pub fn stream(&mut self) -> &mut TcpStream {
-        &mut self.stream
-    }
 }
 
 /// What was sent, answered and run, in order.
@@ -178,11 +173,6 @@
         Self { started: Instant::now(), lines: Mutex::default() }
     }
 
-    /// The time since the start.
-    pub fn elapsed(&self) -> Duration {
-        self.started.elapsed()
-    }
-
     /// Adds a line with the time.
     pub fn add(&self, text: impl AsRef<str>) {
         let seconds = self.started.elapsed().as_secs_f64();
--- a/review/standin/instance.rs
+++ b/review/standin/instance.rs
@@ -2,20 +2,18 @@
 
 use crate::base;
 use std::fs;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 unsafe extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
-/// The signals that the platform and the tests send.
-#[derive(Clone, Copy, Debug)]
-pub enum Signal {
-    Hup = 1,
-    Term = 15,
-}
+/// Asks the kernel to send a signal when the parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: usize = 9;
 
 /// An instance in a process of its own; killed when dropped.
 pub struct Instance {
@@ -98,13 +96,22 @@
         let file = folder.join(format!("settings-{number}.toml"));
         fs::write(&file, settings).unwrap();
         let log = fs::File::create(folder.join(format!("instance-{number}.log"))).unwrap();
-        let child = Command::new("target/release/tarragondoor-platform")
+        let mut command = Command::new("target/release/tarragondoor-platform");
+        command
             .args(["--metrics-port", &metrics.to_string()])
             .env_clear()
             .env("TARRAGONDOOR_NODE_FILE", &file)
             .stdin(Stdio::null())
             .stdout(log)
-            .stderr(Stdio::inherit())
+            .stderr(Stdio::inherit());
+        // SAFETY: prctl is async-signal-safe and changes the child only, which ends with this process.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command
             .spawn()
             .unwrap_or_else(|error| crate::cannot_run(&format!("can't start the instance: {error}")));
         Self { child, front, ready }
@@ -127,25 +134,6 @@
         let asked = connection.send("GET", "/-/readiness", "ready", 1_000, b"");
         asked.and_then(|()| connection.receive()).is_ok_and(|answer| answer.status() == 200)
     }
-
-    /// Sends a signal to the process.
-    pub fn signal(&self, signal: Signal) {
-        // SAFETY: the process is a child that has not been waited for, so its id is not in use again.
-        unsafe { kill(self.child.id() as i32, signal as i32) };
-    }
-
-    /// The end of the process, if it has ended.
-    pub fn exit(&mut self) -> Option<String> {
-        self.child.try_wait().ok().flatten().map(|status| status.to_string())
-    }
-
-    /// The memory of the process, in bytes.
-    pub fn memory_bytes(&self) -> u64 {
-        let text = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
-        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kib: u64 = line.and_then(|line| line.trim().split(' ').next()?.parse().ok()).unwrap_or(0);
-        kib * 1_024
-    }
 }
 
 impl Drop for Instance {
--- a/review/standin/searcher.rs
+++ b/review/standin/searcher.rs
@@ -137,8 +137,8 @@
         }
         self.record.add(format!("run     {id} at {}", self.id));
         self.runs.lock().unwrap().push((id.to_owned(), Instant::now()));
-        // The work of each route: the quick one takes about 9 ms, the long one about 220 ms.
-        let mean_ms = if request.target().0.starts_with("/quick/") { 9.0 } else { 220.0 };
+        // The mean work of each kind of request.
+        let mean_ms = if request.target().0.starts_with("/once/") { 220.0 } else { 9.0 };
         thread::sleep(Duration::from_micros((mean_ms * 1e3 * (0.5 + base::random())) as u64));
         self.slots.lock().unwrap().busy -= 1;
         self.freed.notify_one();
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -1,4 +1,4 @@
-//! A stand-in for the platform's store: range and watch calls, a history of limited length, and slow answers.
+//! A stand-in for the platform's store: range and watch calls, a history of limited length, and outages.
 
 use crate::base::{self, Message};
 use std::collections::BTreeMap;
@@ -9,6 +9,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// How long it takes to answer a call.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
 /// How long a change stays in the history (`historyS`).
 const HISTORY: Duration = Duration::from_secs(20);
 
@@ -35,10 +37,8 @@
     /// Its port.
     pub port: u16,
     state: Mutex<State>,
-    /// How long it takes to answer a call, in milliseconds.
-    pub answer_ms: AtomicU64,
-    /// Whether it answers calls of the system with 503.
-    pub is_busy: AtomicBool,
+    /// Whether it is down: calls of the system get no answer.
+    pub is_down: AtomicBool,
     /// The size of the largest answer, in bytes.
     pub largest_answer: AtomicU64,
 }
@@ -50,8 +50,7 @@
         let store = Arc::new(Self {
             port: listener.local_addr().unwrap().port(),
             state: Mutex::new(State { revision: 10, ..State::default() }),
-            answer_ms: AtomicU64::new(4),
-            is_busy: AtomicBool::new(false),
+            is_down: AtomicBool::new(false),
             largest_answer: AtomicU64::new(0),
         });
         let served = store.clone();
@@ -85,7 +84,14 @@
         let mut stream = stream;
         while let Ok(Some(request)) = base::read_message(&mut reader) {
             let (status, body) = self.answer(&request);
-            thread::sleep(Duration::from_millis(self.answer_ms.load(Ordering::Relaxed)));
+            thread::sleep(ANSWER_TIME);
+            if self.is_down.load(Ordering::Relaxed) {
+                while self.is_down.load(Ordering::Relaxed) {
+                    thread::sleep(Duration::from_millis(5));
+                }
+                // A connection on which an answer was lost returns nothing further.
+                return;
+            }
             self.largest_answer.fetch_max(body.len() as u64, Ordering::Relaxed);
             let head = format!(
                 "HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
@@ -98,9 +104,6 @@
     }
 
     fn answer(&self, request: &Message) -> (u16, String) {
-        if self.is_busy.load(Ordering::Relaxed) {
-            return (503, "{}".to_owned());
-        }
         let (path, query) = request.target();
         let field = |name: &str| {
             let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
--- a/review/standin/storm.rs
+++ b/review/standin/storm.rs
@@ -1,4 +1,4 @@
-//! Large configurations in quick succession while the store is slow.
+//! Large configurations in quick succession after an outage of the store.
 
 use crate::base::{self, Connection, Record};
 use crate::instance::{self, Folder, Instance};
@@ -13,14 +13,13 @@
 const OLD_SERVICE: &str = "kafi81c";
 const NEW_SERVICE: &str = "nylo40d";
 const INSTANCE_COUNT: usize = 3;
-/// The largest value that the store takes (`valueBytes`).
-const VALUE_MAX_BYTES: usize = 1_048_576;
-/// The configurations of the storm and the pause between two.
+/// The routes of each configuration: about 0.7 MB; the store takes up to 1 MiB (`valueBytes`).
+const ROUTE_COUNT: usize = 4_000;
+/// How long the store is down.
+const DOWN_TIME: Duration = Duration::from_millis(5_400);
+/// The configurations of the storm and the time between two.
 const STORM_COUNT: u64 = 25;
 const STORM_GAP: Duration = Duration::from_millis(60);
-/// How long the store is slow, and how long it then takes to answer a call.
-const SLOW_TIME: Duration = Duration::from_millis(4_500);
-const SLOW_ANSWER_MS: u64 = 240;
 /// `stabilityWindowMs`
 const STABILITY_WINDOW: Duration = Duration::from_secs(5);
 /// `configApplyMs`
@@ -31,17 +30,10 @@
 fn config(version: u64, service: &str) -> Vec<u8> {
     let mut routes = vec![format!(r#"{{"name":"r-moved","host":"h.example","prefix":"/moved/","routeType":"idempotent","timeoutMs":1500,"targetLatencyMs":250,"priority":0,"service":"{service}","attempts":2}}"#)];
     let services = [instance::service(OLD_SERVICE, 96), instance::service(NEW_SERVICE, 96)];
-    let mut size: usize = 500;
-    let mut number = 0;
-    while size < VALUE_MAX_BYTES - 1_000 {
-        let route = format!(r#"{{"name":"r-{number:05}","host":"h{number}.example","prefix":"/more{number}/","routeType":"idempotent","timeoutMs":6000,"targetLatencyMs":2000,"priority":2,"service":"{OLD_SERVICE}","attempts":2}}"#);
-        size += route.len() + 1;
-        routes.push(route);
-        number += 1;
+    for number in 1..ROUTE_COUNT {
+        routes.push(format!(r#"{{"name":"r-{number:05}","host":"h{number}.example","prefix":"/more{number}/","routeType":"idempotent","timeoutMs":6000,"targetLatencyMs":2000,"priority":2,"service":"{OLD_SERVICE}","attempts":2}}"#));
     }
-    let value = instance::configuration(version, &routes, &services);
-    assert!(value.len() <= VALUE_MAX_BYTES, "{}", value.len());
-    value
+    instance::configuration(version, &routes, &services)
 }
 
 /// Runs the case.
@@ -75,23 +67,27 @@
     }
     thread::sleep(Duration::from_secs(4));
 
-    let slow_from = Instant::now();
+    // Only the last version moves the route.
+    let versions: Vec<Vec<u8>> = (1..=STORM_COUNT)
+        .map(|step| config(7 + step, if step == STORM_COUNT { NEW_SERVICE } else { OLD_SERVICE }))
+        .collect();
     if has_trouble {
-        store.answer_ms.store(SLOW_ANSWER_MS, Ordering::Relaxed);
-        record.add(format!("the store takes {SLOW_ANSWER_MS} ms an answer"));
+        store.is_down.store(true, Ordering::Relaxed);
+        record.add("the store is down");
     }
-    let versions: Vec<Vec<u8>> = (1..=STORM_COUNT).map(|step| config(7 + step, NEW_SERVICE)).collect();
-    thread::sleep(Duration::from_millis(500));
+    thread::sleep(DOWN_TIME);
+    store.is_down.store(false, Ordering::Relaxed);
+    record.add("the store is back");
+    let back = Instant::now();
     for (step, value) in versions.iter().enumerate() {
         store.put("op/config", value);
         record.add(format!("op/config has version {}", 8 + step));
-        thread::sleep(STORM_GAP);
+        if step + 1 < versions.len() {
+            thread::sleep(STORM_GAP);
+        }
     }
     let acknowledged = Instant::now();
-    thread::sleep((slow_from + SLOW_TIME).saturating_duration_since(Instant::now()));
-    store.answer_ms.store(4, Ordering::Relaxed);
-    record.add("the store takes 4 ms an answer");
-    let judged_from = (Instant::now() + STABILITY_WINDOW).max(acknowledged + CONFIG_APPLY);
+    let judged_from = (back + STABILITY_WINDOW).max(acknowledged + CONFIG_APPLY);
     let mut violations = Vec::new();
     let mut number = 0;
     while Instant::now() < judged_from + WATCH_TIME {
