--- a/review/standin/base.rs
+++ b/review/standin/base.rs
@@ -14,7 +14,8 @@
     const ALPHABET: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::with_capacity(bytes.len().div_ceil(3) * 4);
     for chunk in bytes.chunks(3) {
-        let word = chunk.iter().fold(0_u32, |word, byte| word << 8 | u32::from(*byte)) << (8 * (3 - chunk.len()));
+        let word = chunk.iter().fold(0_u32, |word, byte| word << 8 | u32::from(*byte))
+            << (8 * (3 - chunk.len()));
         for index in 0..4 {
             if index <= chunk.len() {
                 text.push(ALPHABET[(word >> (18 - 6 * index)) as usize & 63] as char);
@@ -142,7 +143,14 @@
     }
 
     /// Sends a request without reading the answer.
-    pub fn send(&mut self, method: &str, path: &str, id: &str, deadline_ms: u64, body: &[u8]) -> io::Result<()> {
+    pub fn send(
+        &mut self,
+        method: &str,
+        path: &str,
+        id: &str,
+        deadline_ms: u64,
+        body: &[u8],
+    ) -> io::Result<()> {
         let mut request = format!(
             "{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\nX-Request-Deadline: {deadline_ms}\r\n"
         );
--- a/review/standin/instance.rs
+++ b/review/standin/instance.rs
@@ -15,6 +15,21 @@
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: usize = 9;
 
+/// A zone of the deployment.
+#[derive(Clone, Copy, Debug)]
+pub struct Zone {
+    /// Its name.
+    pub name: &'static str,
+    region: &'static str,
+}
+
+/// The zones of the deployment.
+pub const ZONES: [Zone; 3] = [
+    Zone { name: "north-uk-a", region: "north-uk" },
+    Zone { name: "west-eu-b", region: "west-eu" },
+    Zone { name: "nordic-c", region: "nordic" },
+];
+
 /// An instance in a process of its own; killed when dropped.
 pub struct Instance {
     child: Child,
@@ -24,12 +39,19 @@
 }
 
 impl Instance {
-    /// Starts an instance. `control` is its own control port, `seeds` those of all instances.
-    pub fn start(folder: &Path, number: usize, control: u16, seeds: &[u16], store: u16) -> Self {
+    /// Starts an instance in a zone. `control` is its own control port, `seeds` those of all instances.
+    pub fn start(
+        folder: &Path,
+        number: usize,
+        zone: Zone,
+        control: u16,
+        seeds: &[u16],
+        store: u16,
+    ) -> Self {
         let [front, ready, directory, metrics] = base::free_ports();
-        let zone = ["north-uk-a", "west-eu-b", "nordic-c"][number % 3];
-        let region = ["north-uk", "west-eu", "nordic"][number % 3];
-        let seeds: Vec<String> = seeds.iter().take(3).map(|port| format!("\"127.0.0.1:{port}\"")).collect();
+        let Zone { name: zone, region } = zone;
+        let seeds: Vec<String> =
+            seeds.iter().take(3).map(|port| format!("\"127.0.0.1:{port}\"")).collect();
         let settings = format!(
             r#"nodeName = "front-{zone}-{number}"
 role = "entry"
@@ -111,9 +133,9 @@
                 Ok(())
             });
         }
-        let child = command
-            .spawn()
-            .unwrap_or_else(|error| crate::cannot_run(&format!("can't start the instance: {error}")));
+        let child = command.spawn().unwrap_or_else(|error| {
+            crate::cannot_run(&format!("can't start the instance: {error}"))
+        });
         Self { child, front, ready }
     }
 
@@ -130,7 +152,9 @@
     }
 
     fn is_ready(&self) -> bool {
-        let Ok(mut connection) = base::Connection::open(self.ready, Duration::from_secs(1)) else { return false };
+        let Ok(mut connection) = base::Connection::open(self.ready, Duration::from_secs(1)) else {
+            return false;
+        };
         let asked = connection.send("GET", "/-/readiness", "ready", 1_000, b"");
         asked.and_then(|()| connection.receive()).is_ok_and(|answer| answer.status() == 200)
     }
@@ -148,8 +172,9 @@
 
 impl Folder {
     /// Creates a folder in the folder for temporary files.
-    pub fn new() -> Self {
-        let path = std::env::temp_dir().join(format!("tarragondoor-review-{}", std::process::id()));
+    pub fn new(name: &str) -> Self {
+        let path =
+            std::env::temp_dir().join(format!("tarragondoor-review-{}-{name}", std::process::id()));
         fs::create_dir_all(&path).unwrap();
         Self(path)
     }
@@ -164,8 +189,7 @@
 }
 
 /// The limits of a configuration, as in the site file.
-pub const LIMITS: &str =
-    r#"{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}"#;
+pub const LIMITS: &str = r#"{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}"#;
 
 /// A service of a configuration.
 pub fn service(name: &str, connections_max: u32) -> String {
@@ -178,5 +202,8 @@
 pub fn configuration(version: u64, routes: &[String], services: &[String]) -> Vec<u8> {
     let routes = routes.join(",");
     let services = services.join(",");
-    format!(r#"{{"version":{version},"routes":[{routes}],"services":[{services}],"limits":{LIMITS}}}"#).into_bytes()
+    format!(
+        r#"{{"version":{version},"routes":[{routes}],"services":[{services}],"limits":{LIMITS}}}"#
+    )
+    .into_bytes()
 }
--- a/review/standin/late_rejections.rs
+++ b/review/standin/late_rejections.rs
@@ -28,10 +28,13 @@
 
 /// Runs the case.
 pub fn run(record: &Arc<Record>, has_trouble: bool) -> Verdict {
-    let folder = Folder::new();
-    let store = Store::start();
+    let folder = Folder::new("late");
+    let store = Store::new();
+    let port = store.open_port();
     let searchers: Vec<Arc<Searcher>> = (0..SEARCHER_COUNT)
-        .map(|number| Searcher::start(&format!("i-{number}"), SERVICE, number, SLOT_COUNT, QUEUE_MAX, record))
+        .map(|number| {
+            Searcher::start(&format!("i-{number}"), SERVICE, number, SLOT_COUNT, QUEUE_MAX, record)
+        })
         .collect();
     store.put("op/config", &instance::configuration(
         7,
@@ -45,14 +48,17 @@
         store.put(&format!("servers/{}", searcher.id), &searcher.entry());
     }
     let (beating, beaten) = (store.clone(), searchers.clone());
-    thread::spawn(move || loop {
-        thread::sleep(Duration::from_millis(1_200));
-        for searcher in &beaten {
-            beating.put(&format!("servers/{}", searcher.id), &searcher.entry());
+    thread::spawn(move || {
+        loop {
+            thread::sleep(Duration::from_millis(1_200));
+            for searcher in &beaten {
+                beating.put(&format!("servers/{}", searcher.id), &searcher.entry());
+            }
         }
     });
     let [control] = base::free_ports();
-    let instance = Instance::start(&folder.0, 0, control, &[control], store.port);
+    let instance =
+        Instance::start(&folder.0, 0, instance::ZONES[0], control, &[control], port.number);
     instance.wait_until_ready();
 
     let is_over = Arc::new(AtomicBool::new(false));
@@ -71,9 +77,16 @@
                 let id = format!("{kind}-{:06}", next_id.fetch_add(1, Ordering::Relaxed));
                 let sent = send(&mut connection, front, is_once, &id, &record);
                 let (status, retry_after) = sent.unwrap_or_default();
-                record.add(format!("answer  {id}: {}", if status == 0 { "none".to_owned() } else { status.to_string() }));
+                record.add(format!(
+                    "answer  {id}: {}",
+                    if status == 0 { "none".to_owned() } else { status.to_string() }
+                ));
                 answers.lock().unwrap().push((id, status));
-                let pause_ms = if is_once { 50.0 + 150.0 * base::random() } else { 10.0 + 30.0 * base::random() };
+                let pause_ms = if is_once {
+                    50.0 + 150.0 * base::random()
+                } else {
+                    10.0 + 30.0 * base::random()
+                };
                 thread::sleep(retry_after.max(Duration::from_millis(pause_ms as u64)));
             }
         }));
@@ -116,13 +129,19 @@
     let mut violations = Vec::new();
     for (id, status) in answers.lock().unwrap().iter().filter(|(id, _)| id.starts_with("once-")) {
         let first = runs.partition_point(|(other, _, _)| other < id);
-        let at: Vec<&str> =
-            runs[first..].iter().take_while(|(other, _, _)| other == id).map(|(_, at, _)| at.as_str()).collect();
+        let at: Vec<&str> = runs[first..]
+            .iter()
+            .take_while(|(other, _, _)| other == id)
+            .map(|(_, at, _)| at.as_str())
+            .collect();
         if at.len() > 1 {
             violations.push(format!("TWICE: {id} ran {} times, at {}", at.len(), at.join(" and ")));
         }
         if matches!(status, 408 | 421 | 429 | 503) && !at.is_empty() {
-            violations.push(format!("REFUSED: {id} was answered {status} and ran at {}", at.join(" and ")));
+            violations.push(format!(
+                "REFUSED: {id} was answered {status} and ran at {}",
+                at.join(" and ")
+            ));
         }
     }
     Verdict { violations }
@@ -150,6 +169,7 @@
     if answer.header("connection") != "close" {
         *connection = Some(open);
     }
-    let retry_after = answer.header("retry-after").parse().map_or(Duration::ZERO, Duration::from_secs_f64);
+    let retry_after =
+        answer.header("retry-after").parse().map_or(Duration::ZERO, Duration::from_secs_f64);
     Some((answer.status(), retry_after))
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,9 +5,10 @@
 mod base;
 mod instance;
 mod late_rejections;
+mod refusals;
 mod searcher;
-mod storm;
 mod store;
+mod storm;
 
 use std::path::PathBuf;
 use std::process;
@@ -34,6 +35,7 @@
     let record = std::sync::Arc::new(base::Record::new());
     let verdict = match case.as_str() {
         "late-rejections" => late_rejections::run(&record, has_trouble),
+        "refusals" => refusals::run(&record, has_trouble),
         "storm" => storm::run(&record, has_trouble),
         _ => cannot_run("unknown case"),
     };
@@ -41,7 +43,8 @@
         record.add(format!("BROKEN  {violation}"));
         println!("{violation}");
     }
-    let verdict_text = if verdict.violations.is_empty() { "the rule held" } else { "the rule was broken" };
+    let verdict_text =
+        if verdict.violations.is_empty() { "the rule held" } else { "the rule was broken" };
     record.add(verdict_text);
     println!("{verdict_text}");
     if let Err(error) = record.write(&PathBuf::from(folder).join("record.txt")) {
--- a/review/standin/searcher.rs
+++ b/review/standin/searcher.rs
@@ -38,6 +38,8 @@
     pub copies: AtomicU64,
     /// Whether it hands out second copies of a share of its answers.
     pub is_garbling: AtomicBool,
+    /// Whether it has left: it writes no entry any more.
+    pub has_left: AtomicBool,
     sequence: AtomicU64,
 }
 
@@ -70,6 +72,7 @@
             rejections: AtomicU64::new(0),
             copies: AtomicU64::new(0),
             is_garbling: AtomicBool::new(false),
+            has_left: AtomicBool::new(false),
             sequence: AtomicU64::new(1),
         });
         let served = searcher.clone();
@@ -111,7 +114,8 @@
                 self.copies.fetch_add(1, Ordering::Relaxed);
                 let status = String::from_utf8_lossy(&answer[9..12]).into_owned();
                 let (id, own) = (request.header("x-request-id").to_owned(), self.id.clone());
-                let (writer, waiting, record) = (writer.clone(), waiting.clone(), self.record.clone());
+                let (writer, waiting, record) =
+                    (writer.clone(), waiting.clone(), self.record.clone());
                 thread::spawn(move || {
                     thread::sleep(Duration::from_millis(30 + (base::random() * 170.0) as u64));
                     let waiting = waiting.lock().unwrap().clone().unwrap_or("none".to_owned());
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -32,35 +32,46 @@
     history_from: u64,
 }
 
+/// A port of the store. Each instance may be given one of its own, so that the store can tell them apart.
+pub struct Port {
+    /// Its number.
+    pub number: u16,
+    /// Whether calls to it get no answer.
+    pub is_silent: AtomicBool,
+    /// The number of calls to it.
+    pub calls: AtomicU64,
+}
+
 /// The store.
 pub struct Store {
-    /// Its port.
-    pub port: u16,
     state: Mutex<State>,
-    /// Whether it is down: calls of the system get no answer.
-    pub is_down: AtomicBool,
     /// The size of the largest answer, in bytes.
     pub largest_answer: AtomicU64,
 }
 
 impl Store {
-    /// Starts the store.
-    pub fn start() -> Arc<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let store = Arc::new(Self {
-            port: listener.local_addr().unwrap().port(),
+    /// Creates a store without a port.
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self {
             state: Mutex::new(State { revision: 10, ..State::default() }),
-            is_down: AtomicBool::new(false),
             largest_answer: AtomicU64::new(0),
-        });
-        let served = store.clone();
+        })
+    }
+
+    /// Serves calls at a port.
+    pub fn open_port(self: &Arc<Self>) -> Arc<Port> {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let number = listener.local_addr().unwrap().port();
+        let port =
+            Arc::new(Port { number, is_silent: AtomicBool::new(false), calls: AtomicU64::new(0) });
+        let (store, served) = (self.clone(), port.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = served.clone();
-                thread::spawn(move || store.serve(stream));
+                let (store, port) = (store.clone(), served.clone());
+                thread::spawn(move || store.serve(stream, &port));
             }
         });
-        store
+        port
     }
 
     /// Writes a key and returns the revision.
@@ -77,16 +88,27 @@
         revision
     }
 
-    fn serve(&self, stream: TcpStream) {
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        let revision = state.revision;
+        state.items.remove(key);
+        let text = format!(r#"{{"key":"{key}","revision":{revision},"removed":true}}"#);
+        state.history.push(Event { at: Instant::now(), revision, key: key.to_owned(), text });
+    }
+
+    fn serve(&self, stream: TcpStream, port: &Port) {
         let _ = stream.set_nodelay(true);
         let Ok(reading) = stream.try_clone() else { return };
         let mut reader = BufReader::new(reading);
         let mut stream = stream;
         while let Ok(Some(request)) = base::read_message(&mut reader) {
+            port.calls.fetch_add(1, Ordering::Relaxed);
             let (status, body) = self.answer(&request);
             thread::sleep(ANSWER_TIME);
-            if self.is_down.load(Ordering::Relaxed) {
-                while self.is_down.load(Ordering::Relaxed) {
+            if port.is_silent.load(Ordering::Relaxed) {
+                while port.is_silent.load(Ordering::Relaxed) {
                     thread::sleep(Duration::from_millis(5));
                 }
                 // A connection on which an answer was lost returns nothing further.
@@ -97,7 +119,11 @@
                 "HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 body.len()
             );
-            if stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(body.as_bytes())).is_err() {
+            if stream
+                .write_all(head.as_bytes())
+                .and_then(|()| stream.write_all(body.as_bytes()))
+                .is_err()
+            {
                 return;
             }
         }
@@ -107,7 +133,11 @@
         let (path, query) = request.target();
         let field = |name: &str| {
             let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.filter(|(key, _)| *key == name).map(|(_, value)| value.replace("%2F", "/")).next().unwrap_or_default()
+            pairs
+                .filter(|(key, _)| *key == name)
+                .map(|(_, value)| value.replace("%2F", "/"))
+                .next()
+                .unwrap_or_default()
         };
         match path {
             "/-/kv-range" => self.range(&field("prefix"), &field("after")),
@@ -142,15 +172,18 @@
         loop {
             {
                 let mut state = self.state.lock().unwrap();
-                let dropped = state.history.iter().take_while(|event| event.at.elapsed() > HISTORY).count();
+                let dropped =
+                    state.history.iter().take_while(|event| event.at.elapsed() > HISTORY).count();
                 for event in state.history.drain(..dropped).collect::<Vec<_>>() {
                     state.history_from = event.revision;
                 }
                 if after < state.history_from {
                     return (410, "{}".to_owned());
                 }
-                let is_new = |event: &&Event| event.key.starts_with(prefix) && event.revision > after;
-                let events: Vec<&str> = state.history.iter().filter(is_new).map(|event| event.text.as_str()).collect();
+                let is_new =
+                    |event: &&Event| event.key.starts_with(prefix) && event.revision > after;
+                let events: Vec<&str> =
+                    state.history.iter().filter(is_new).map(|event| event.text.as_str()).collect();
                 if !events.is_empty() || Instant::now() >= end {
                     let events = events.join(",");
                     return (200, format!(r#"{{"events":[{events}],"asOf":{}}}"#, state.revision));
