Read the store in place of readers that it turns away

Cause: the others waited until a reader reported that its calls had failed for 0.9 s, then moved all their connections to new readers, and the instance that read first took its old view for an outage of the store and held the removal back for another 2.2 s. The move of the connections also split the membership.

Change: whom instances connect to (hubs) no longer depends on the store. An instance whose view is older than readers keep it reads the store if it is among the next four of its region, 0.15 s apart; hubs follow it. Removals are held back only where entries can have lapsed, judged by the time since the last complete view and by how far the store's revision has moved.

Why it works: every instance knows the age of its view by itself, so nobody has to report a failure first; nothing else moves.

Frames between instances have a new version (heartbeats and members have a field more): instances of both versions don't talk to each other. Tests that build a member got the new field.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -12,6 +12,7 @@
 pub mod publisher;
 pub mod reader;
 pub mod registry;
+pub mod stand_in;
 pub mod store_client;
 pub mod subscriber;
 pub mod table;
--- a/src/discovery/feed.rs
+++ b/src/discovery/feed.rs
@@ -14,7 +14,7 @@
 
 /// The key of the frames' checksums. The platform gives instances no shared secret, so the checksums detect
 /// corruption and accidental connections from other software, but not forgery.
-pub const FRAME_KEY: [u8; 32] = *b"tarragondoor feed frames, v2\0\0\0\0";
+pub const FRAME_KEY: [u8; 32] = *b"tarragondoor feed frames, v3\0\0\0\0";
 
 /// A message from a subscriber to its source.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -64,6 +64,9 @@
         searchers: registry::Digest,
         /// How long ago the source last knew all searchers; `None` if it never did.
         searchers_age_us: Option<u64>,
+        /// The store revision up to which the source knows all searchers, and how long ago it was the store's; `None`
+        /// if it does not know.
+        searchers_as_of: Option<(registry::StoreRevision, u64)>,
         /// How long ago the source's configuration was known to be the newest; `None` if it never was.
         config_age_us: Option<u64>,
     },
--- a/src/discovery/members.rs
+++ b/src/discovery/members.rs
@@ -42,6 +42,8 @@
     /// `false` if its calls to the store kept failing, until some seconds after the last failed one; `true` if it
     /// makes none.
     pub reaches_store: bool,
+    /// Whether it reads the store although it is no reader, because what the readers know became old.
+    pub stands_in: bool,
 }
 
 /// The instances known to this one, directly or through its sources.
@@ -69,7 +71,7 @@
 const LOST_SOURCE_KEEP_US: u64 = 2_000_000;
 /// How long an instance that stopped responding ranks last as a reader: as long as a machine usually freezes.
 const UNRESPONSIVE_KEEP_US: u64 = 4_000_000;
-/// The minimum number of readers, if there are as many instances: one may fail while another is frozen.
+/// The minimum number of readers and of hubs, if there are as many instances: one may fail while another is frozen.
 const READERS_MIN: usize = 3;
 
 impl Members {
@@ -83,11 +85,18 @@
         &self.me
     }
 
-    /// Updates what this instance reports about itself. Returns whether anything changed.
-    pub fn set_me(&mut self, state: MemberState, reaches_store: bool) -> bool {
-        let changed = self.me.state != state || self.me.reaches_store != reaches_store;
+    /// Updates whether this instance accepts requests. Returns whether that changed.
+    pub fn set_my_state(&mut self, state: MemberState) -> bool {
+        let changed = self.me.state != state;
         self.me.state = state;
+        changed
+    }
+
+    /// Updates how this instance accesses the store. Returns whether anything changed.
+    pub fn set_my_store_access(&mut self, reaches_store: bool, stands_in: bool) -> bool {
+        let changed = self.me.reaches_store != reaches_store || self.me.stands_in != stands_in;
         self.me.reaches_store = reaches_store;
+        self.me.stands_in = stands_in;
         changed
     }
 
@@ -187,37 +196,93 @@
         members
     }
 
-    /// The instances that read the store: the first of each region in an order that is the same on all
-    /// instances, and more up to a minimum number. Instances that can't reach the store, are draining or
-    /// have stopped responding rank last.
+    /// The instances that all others get their updates from: the first of each region in an order that is the same on
+    /// all instances, and more up to a minimum number. Instances that are draining or have stopped responding rank
+    /// last. Whether they reach the store does not matter: they also get updates from those that read it, and a move
+    /// of all connections would delay what is new at the worst time.
+    pub fn hubs(&self) -> Vec<&Member> {
+        first_of_each_region(&self.ranked(|_| false))
+    }
+
+    /// The instances that read the store: chosen like [`Members::hubs`], but those that can't reach the store rank last
+    /// too.
     pub fn readers(&self) -> Vec<&Member> {
-        let mut ranked = self.live();
-        ranked.sort_by_key(|member| {
-            let unresponsive =
-                self.unresponsive.iter().any(|(address, _)| *address == member.control);
-            let unfit =
-                !member.reaches_store || member.state == MemberState::Draining || unresponsive;
-            (unfit, xxh3::xxh3_64(member.name.as_str().as_bytes()))
-        });
-        let mut readers: Vec<&Member> = Vec::new();
-        for member in &ranked {
-            if readers.iter().all(|reader| reader.region != member.region) {
-                readers.push(member);
-            }
+        first_of_each_region(&self.ranked(|member| !member.reaches_store))
+    }
+
+    /// Whether this instance is one of [`Members::readers`].
+    pub fn is_reader(&self) -> bool {
+        self.readers().iter().any(|reader| reader.name == self.me.name)
+    }
+
+    /// The addresses of the instances that this one gets updates from: the hubs and, if it is one itself, those that read
+    /// the store.
+    pub fn selected_sources(&self) -> Vec<net::SocketAddr> {
+        let hubs = self.hubs();
+        let mut selected: Vec<net::SocketAddr> = hubs.iter().map(|hub| hub.control).collect();
+        if hubs.iter().any(|hub| hub.name == self.me.name) {
+            selected.extend(self.readers().iter().map(|reader| reader.control));
+            let standing_in = self.live().into_iter().filter(|member| member.stands_in);
+            selected.extend(standing_in.map(|member| member.control));
         }
-        for member in &ranked {
-            if readers.len() >= READERS_MIN {
-                break;
+        selected.retain(|address| *address != self.me.control);
+        selected.sort();
+        selected.dedup();
+        selected
+    }
+
+    /// The position of this instance among those of its region that read the store if the readers can't, in the order in
+    /// which they do so; `None` if it is a reader or not fit to be one.
+    pub fn stand_in_rank(&self) -> Option<usize> {
+        let readers = self.readers();
+        let mut rank = 0;
+        for (is_unfit, member) in self.ranked(|member| !member.reaches_store) {
+            if is_unfit || member.region != self.me.region {
+                continue;
+            }
+            if readers.iter().any(|reader| reader.name == member.name) {
+                continue;
             }
-            if readers.iter().all(|reader| reader.name != member.name) {
-                readers.push(member);
+            if member.name == self.me.name {
+                return Some(rank);
             }
+            rank += 1;
         }
-        readers
+        None
     }
 
-    /// Whether this instance is one of [`Members::readers`].
-    pub fn is_reader(&self) -> bool {
-        self.readers().iter().any(|reader| reader.name == self.me.name)
+    /// All live members and whether they are unfit to serve others, in an order that is the same on all instances: those
+    /// that are draining, have stopped responding or that `is_unfit` returns true for come last.
+    fn ranked(&self, is_unfit: impl Fn(&Member) -> bool) -> Vec<(bool, &Member)> {
+        let mut ranked = Vec::new();
+        for member in self.live() {
+            let is_unresponsive =
+                self.unresponsive.iter().any(|(address, _)| *address == member.control);
+            let is_draining = member.state == MemberState::Draining;
+            ranked.push((is_draining || is_unresponsive || is_unfit(member), member));
+        }
+        ranked.sort_by_key(|(is_unfit, member)| {
+            (*is_unfit, xxh3::xxh3_64(member.name.as_str().as_bytes()))
+        });
+        ranked
+    }
+}
+
+/// The first member of each region, and the next ones up to [`READERS_MIN`].
+fn first_of_each_region<'a>(ranked: &[(bool, &'a Member)]) -> Vec<&'a Member> {
+    let mut first: Vec<&Member> = Vec::new();
+    for (_, member) in ranked {
+        if first.iter().all(|known| known.region != member.region) {
+            first.push(member);
+        }
+    }
+    for (_, member) in ranked {
+        if first.len() >= READERS_MIN {
+            break;
+        }
+        if first.iter().all(|known| known.name != member.name) {
+            first.push(member);
+        }
     }
+    first
 }
--- a/src/discovery/publisher.rs
+++ b/src/discovery/publisher.rs
@@ -290,6 +290,7 @@
                 config: config::ConfigVersion::default(),
                 searchers: registry::Digest::default(),
                 searchers_age_us: None,
+                searchers_as_of: None,
                 config_age_us: None,
             },
             false => {
@@ -298,6 +299,7 @@
                     config: self.view.config_version(),
                     searchers: self.view.digest(),
                     searchers_age_us: ages.searchers_us,
+                    searchers_as_of: self.view.searchers_as_of(),
                     config_age_us: ages.config_us,
                 }
             }
--- a/src/discovery/reader.rs
+++ b/src/discovery/reader.rs
@@ -1,7 +1,9 @@
 //! Reads the platform's store while this instance has the reader role or its view is stale.
 
 use crate::clock;
+use crate::discovery::publisher;
 use crate::discovery::registry;
+use crate::discovery::stand_in;
 use crate::discovery::store_client;
 use crate::discovery::view;
 use crate::event;
@@ -25,7 +27,9 @@
 const BACKOFF_MIN: time::Duration = time::Duration::from_millis(150);
 /// The longest backoff after failed calls.
 const BACKOFF_MAX: time::Duration = time::Duration::from_millis(800);
-/// How much older than the read period a view becomes before an instance that is not a reader reads the store.
+/// How much older than the readers keep it a view becomes before other instances stand in for them.
+const STAND_IN_SLACK: time::Duration = time::Duration::from_millis(150);
+/// How much older than the read period a view becomes before any instance that is not a reader reads the store.
 const STALE_SLACK_US: u64 = 1_000_000;
 /// A view that is older than the read period by this much indicates an outage of the store.
 const OUTAGE_SLACK_US: u64 = 1_700_000;
@@ -54,6 +58,22 @@
     pub drain: time::Duration,
 }
 
+impl Bounds {
+    fn searchers_period(&self) -> time::Duration {
+        self.drain.mul_f64(SEARCHERS_PERIOD_SHARE)
+    }
+
+    fn config_wait(&self) -> time::Duration {
+        self.config_apply.mul_f64(CONFIG_WAIT_SHARE)
+    }
+
+    /// The age from which on a view is stale: readers that reach the store keep it younger.
+    pub fn stale_after_us(&self) -> u64 {
+        let read_period = self.config_wait().max(self.searchers_period() + SEARCHERS_WAIT);
+        (read_period + publisher::HEARTBEAT_PERIOD + STAND_IN_SLACK).as_micros() as u64
+    }
+}
+
 /// Reads the store while this instance is one of the readers or its view is stale.
 pub struct Reader<S> {
     view: sync::Arc<view::View>,
@@ -63,10 +83,13 @@
     config_wait: time::Duration,
     searchers_period: time::Duration,
     started_us: u64,
-    stale_after_us: u64,
+    turns_after_us: u64,
+    /// How often searchers renew their entries; `None` if it is not known.
+    renewal_period: Option<time::Duration>,
     /// How long to wait for a source at the start before reading the store.
     source_wait_us: u64,
     status: sync::Mutex<Status>,
+    stand_in: sync::Mutex<stand_in::StandIn>,
     removal_hold: sync::Mutex<registry::RemovalHold>,
 }
 
@@ -99,10 +122,11 @@
         seeds: &[net::SocketAddr],
         is_first_start: bool,
         bounds: Bounds,
+        renewal_period: Option<time::Duration>,
         metrics: sync::Arc<metrics::Metrics>,
     ) -> Self {
         let me = view.with_members(|members| members.me().clone());
-        let searchers_period = bounds.drain.mul_f64(SEARCHERS_PERIOD_SHARE);
+        let searchers_period = bounds.searchers_period();
         let period_us = searchers_period.as_micros() as u64;
         let jitter_us = xxh3::xxh3_64(me.name.as_str().as_bytes()) % STALE_JITTER_US;
         Self {
@@ -111,12 +135,14 @@
             store,
             metrics,
             started_us: clock::now_us(),
-            config_wait: bounds.config_apply.mul_f64(CONFIG_WAIT_SHARE),
+            config_wait: bounds.config_wait(),
             searchers_period,
-            stale_after_us: period_us + STALE_SLACK_US + jitter_us,
+            renewal_period,
+            turns_after_us: period_us + STALE_SLACK_US + jitter_us,
             source_wait_us: jitter_us
                 + if is_first_start { START_SOURCE_WAIT_US } else { RESTART_SOURCE_WAIT_US },
             status: sync::Mutex::default(),
+            stand_in: sync::Mutex::new(stand_in::StandIn::new(bounds.stale_after_us())),
             removal_hold: sync::Mutex::new(registry::RemovalHold::new(period_us + OUTAGE_SLACK_US)),
         }
     }
@@ -137,10 +163,12 @@
         if now_us - self.started_us < START_SOURCE_WAIT_US {
             return false;
         }
-        if self.view.with_members(|members| members.is_reader()) {
+        let (is_reader, stand_in_rank) =
+            self.view.with_members(|members| (members.is_reader(), members.stand_in_rank()));
+        if is_reader || locks::lock(&self.stand_in).should_read(now_us, stand_in_rank, age_us) {
             return true;
         }
-        if age_us < self.stale_after_us {
+        if age_us < self.turns_after_us {
             return false;
         }
         // All views become stale during a store outage. Readers keep retrying, and the other instances take
@@ -183,6 +211,7 @@
             match result {
                 Ok(read) => {
                     backoff = BACKOFF_MIN;
+                    let view_age_us = self.view.ages().config_us;
                     self.record_answer(Call::Config);
                     let age_us = clock::now_us() - started_us;
                     let is_first = after.is_none();
@@ -192,6 +221,7 @@
                     }
                     // A watch that returns without a change confirms the state at its end.
                     self.view.mark_config_verified(if is_first { age_us } else { 0 });
+                    self.stand_in_after_answer(view_age_us);
                 }
                 Err(store_client::StoreError::HistoryLost) => after = None,
                 Err(error) => {
@@ -222,14 +252,18 @@
                     let failing_us = self.record_answer(Call::Searchers);
                     after = Some(read.as_of);
                     let now_us = clock::now_us();
+                    let may_have_lapsed = self.may_have_lapsed(&read);
                     let changes = {
                         let mut hold = locks::lock(&self.removal_hold);
-                        hold.record_answer(now_us, view_age_us, failing_us);
+                        if may_have_lapsed {
+                            hold.record_answer(now_us, view_age_us, failing_us);
+                        }
                         hold.filter(now_us, read.changes)
                     };
                     self.view.apply_searchers(changes, now_us - started_us);
-                    self.view.set_searchers_as_of(read.as_of);
+                    self.view.set_searchers_as_of(read.as_of, 0);
                     self.view.mark_searchers_verified(now_us - started_us);
+                    self.stand_in_after_answer(view_age_us);
                     tokio::time::sleep(self.searchers_period).await;
                 }
                 Err(store_client::StoreError::HistoryLost) => after = None,
@@ -252,6 +286,40 @@
         Ok(read)
     }
 
+    /// Whether removals in `read` may be those of live searchers whose entries lapsed in an outage.
+    fn may_have_lapsed(&self, read: &store_client::SearchersRead) -> bool {
+        let (Some(period), Some((as_of, elapsed_us))) =
+            (self.renewal_period, self.view.searchers_as_of())
+        else {
+            return true;
+        };
+        let removals = read.changes.iter().filter(|change| change.searcher.is_none());
+        let progress = registry::StoreProgress {
+            elapsed_us,
+            revision_count: read.as_of.0.saturating_sub(as_of.0),
+            removal_count: removals.count(),
+            searcher_count: self.view.with_registry(|registry| registry.live_count()),
+            renewal_period_us: period.as_micros() as u64,
+        };
+        let rules_out = progress.rules_out_lapses();
+        tracing::debug!(?progress, rules_out, "the store's progress since the last read");
+        !rules_out
+    }
+
+    /// Stands in for the readers if the answer came to a view of this age that was stale.
+    fn stand_in_after_answer(&self, view_age_us: Option<u64>) {
+        let Some(view_age_us) = view_age_us else {
+            return;
+        };
+        if self.view.with_members(|members| members.is_reader()) {
+            return;
+        }
+        if locks::lock(&self.stand_in).record_answer(clock::now_us(), view_age_us) {
+            event!(info, Event::StandIn, age_ms = view_age_us / 1_000);
+            self.publish_store_access();
+        }
+    }
+
     /// Waits after a failed call. Returns the next backoff.
     async fn back_off(&self, backoff: time::Duration) -> time::Duration {
         let jitter = rand::random_range(0.7..1.3);
@@ -277,6 +345,7 @@
         let name: &str = call.into();
         self.metrics.record_store_call(name, "failed");
         let now_us = clock::now_us();
+        locks::lock(&self.stand_in).record_failure(now_us);
         let mut status = locks::lock(&self.status);
         let since_us = match status.failing_since_us[call as usize] {
             Some(since_us) => since_us,
@@ -291,16 +360,18 @@
         }
     }
 
-    /// Publishes to the other instances whether this one can reach the store.
+    /// Keeps what the other instances know of this one's access to the store up to date.
     async fn publish_reachability(&self) {
         loop {
             tokio::time::sleep(ROLE_CHECK_PERIOD * 2).await;
-            let status = *locks::lock(&self.status);
-            let reaches_store = clock::now_us() >= status.unfit_until_us;
-            self.view.change_members(|members| {
-                let state = members.me().state;
-                members.set_me(state, reaches_store)
-            });
+            self.publish_store_access();
         }
     }
+
+    fn publish_store_access(&self) {
+        let now_us = clock::now_us();
+        let reaches_store = now_us >= locks::lock(&self.status).unfit_until_us;
+        let stands_in = locks::lock(&self.stand_in).is_active(now_us);
+        self.view.change_members(|members| members.set_my_store_access(reaches_store, stands_in));
+    }
 }
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -170,6 +170,34 @@
     }
 }
 
+/// What the store accepted since all searchers were last known.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreProgress {
+    /// The time since then.
+    pub elapsed_us: u64,
+    /// How much the store's revision has increased.
+    pub revision_count: u64,
+    /// How many removals were among the changes.
+    pub removal_count: usize,
+    /// How many searchers there were.
+    pub searcher_count: usize,
+    /// How often a searcher renews its entry.
+    pub renewal_period_us: u64,
+}
+
+impl StoreProgress {
+    /// Whether no entry of a live searcher can have lapsed: an entry lapses after three periods without a renewal, and
+    /// the store was not down for more than two.
+    ///
+    /// Right after an outage each searcher may have renewed its entry at once, so one renewal of each may be missing
+    /// when the store was up all the time, and no more.
+    pub fn rules_out_lapses(&self) -> bool {
+        let periods = self.elapsed_us as f64 / self.renewal_period_us.max(1) as f64;
+        let renewals = self.revision_count.saturating_sub(self.removal_count as u64);
+        periods <= 2.0 || renewals as f64 >= (periods - 1.0) * self.searcher_count as f64
+    }
+}
+
 /// How long after a store outage removals are held back. The platform promises that the entries of live
 /// searchers are back within about two seconds.
 pub const REMOVAL_HOLD_US: u64 = 2_200_000;
--- a/src/discovery/subscriber.rs
+++ b/src/discovery/subscriber.rs
@@ -50,7 +50,10 @@
     bounds: reader::Bounds,
 ) {
     let change_bound = bounds.config_apply.min(bounds.drain);
-    let other_region_delay_us = change_bound.mul_f64(OTHER_REGION_FETCH_SHARE).as_micros() as u64;
+    let timing = Timing {
+        other_region_delay_us: change_bound.mul_f64(OTHER_REGION_FETCH_SHARE).as_micros() as u64,
+        stale_after_us: bounds.stale_after_us(),
+    };
     let started_us = clock::now_us();
     let mut sources: Vec<(net::SocketAddr, task::JoinHandle<()>)> = Vec::new();
     let mut members_changed = view.members_epoch();
@@ -73,10 +76,8 @@
             if sources.iter().any(|(known, _)| *known == address) {
                 continue;
             }
-            sources.push((
-                address,
-                tokio::spawn(maintain_connection(address, view.clone(), other_region_delay_us)),
-            ));
+            sources
+                .push((address, tokio::spawn(maintain_connection(address, view.clone(), timing))));
         }
         // `changed` can't fail: this task holds the view, which owns the sender.
         let _ = tokio::time::timeout(SOURCES_CHECK_PERIOD, members_changed.changed()).await;
@@ -91,8 +92,7 @@
 ) -> Vec<net::SocketAddr> {
     view.with_members(|members| {
         let me = members.me().control;
-        let mut selected: Vec<net::SocketAddr> =
-            members.readers().iter().map(|reader| reader.control).collect();
+        let mut selected = members.selected_sources();
         let is_alone = members.live().len() == 1;
         if is_alone || uptime_us < SEED_CONNECTION_US {
             selected.extend(seeds);
@@ -108,15 +108,14 @@
 async fn maintain_connection(
     address: net::SocketAddr,
     view: sync::Arc<view::View>,
-    other_region_delay_us: u64,
+    timing: Timing,
 ) {
     loop {
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let ended = match connecting.await {
             Ok(Ok(stream)) => {
                 event!(info, Event::SourceConnected, source = %address);
-                let ended =
-                    SourceConnection::new(address, &view, other_region_delay_us).run(stream).await;
+                let ended = SourceConnection::new(address, &view, timing).run(stream).await;
                 event!(info, Event::SourceLost, source = %address, reason = %ended);
                 ended
             }
@@ -153,12 +152,20 @@
     }
 }
 
+/// When state that a source has is requested from it.
+#[derive(Clone, Copy, Debug)]
+struct Timing {
+    /// The first delay if the source is in another region.
+    other_region_delay_us: u64,
+    /// The age from which on this instance's view is stale: nothing newer is about to arrive from elsewhere.
+    stale_after_us: u64,
+}
+
 /// One connection to a source.
 struct SourceConnection<'a> {
     address: net::SocketAddr,
     view: &'a view::View,
-    /// The first delay of requests if the source is in another region.
-    other_region_delay_us: u64,
+    timing: Timing,
     /// When to request a configuration that the source has and this instance lacks.
     config_fetch_delay: FetchDelay,
     /// The same for searchers.
@@ -168,11 +175,11 @@
 }
 
 impl<'a> SourceConnection<'a> {
-    fn new(address: net::SocketAddr, view: &'a view::View, other_region_delay_us: u64) -> Self {
+    fn new(address: net::SocketAddr, view: &'a view::View, timing: Timing) -> Self {
         Self {
             address,
             view,
-            other_region_delay_us,
+            timing,
             config_fetch_delay: FetchDelay::default(),
             searchers_fetch_delay: FetchDelay::default(),
             timeouts_told: None,
@@ -275,10 +282,20 @@
                     None => return vec![feed::Request::SendConfig],
                 }
             }
-            feed::Update::Heartbeat { config, searchers, searchers_age_us, config_age_us } => {
+            feed::Update::Heartbeat {
+                config,
+                searchers,
+                searchers_age_us,
+                searchers_as_of,
+                config_age_us,
+            } => {
                 let mut requests = Vec::new();
                 if self.apply_searchers_heartbeat(searchers, searchers_age_us) {
                     requests.push(feed::Request::SendSearchers);
+                } else if let Some((as_of, age_us)) = searchers_as_of
+                    && searchers == self.view.digest()
+                {
+                    self.view.set_searchers_as_of(as_of, age_us);
                 }
                 if self.apply_config_heartbeat(config, config_age_us) {
                     requests.push(feed::Request::SendConfig);
@@ -299,8 +316,9 @@
             self.view.mark_searchers_verified(age_us);
             return false;
         }
-        let has_none = self.view.ages().searchers_us.is_none();
-        let delay_us = self.first_fetch_delay_us();
+        let own_age_us = self.view.ages().searchers_us;
+        let has_none = own_age_us.is_none();
+        let delay_us = self.first_fetch_delay_us(own_age_us);
         self.searchers_fetch_delay.is_due(clock::now_us(), has_none, delay_us)
     }
 
@@ -320,19 +338,23 @@
             return false;
         }
         let has_none = own_version == config::ConfigVersion::default();
-        let delay_us = self.first_fetch_delay_us();
+        let delay_us = self.first_fetch_delay_us(self.view.ages().config_us);
         self.config_fetch_delay.is_due(clock::now_us(), has_none, delay_us)
     }
 
-    /// The delay from when this instance learns that the source has other state until it requests that state.
-    fn first_fetch_delay_us(&self) -> u64 {
+    /// The delay from when this instance learns that the source has other state until it requests that state. There is
+    /// none if its own state, of this age, is stale.
+    fn first_fetch_delay_us(&self, own_age_us: Option<u64>) -> u64 {
+        if own_age_us.is_some_and(|age_us| age_us >= self.timing.stale_after_us) {
+            return 0;
+        }
         let is_other_region = self.view.with_members(|members| {
             let live = members.live();
             let source = live.iter().find(|member| member.control == self.address);
             source.is_some_and(|source| source.region != members.me().region)
         });
         if is_other_region {
-            self.other_region_delay_us.max(FETCH_DELAY_MIN_US)
+            self.timing.other_region_delay_us.max(FETCH_DELAY_MIN_US)
         } else {
             FETCH_DELAY_MIN_US
         }
--- a/src/discovery/view.rs
+++ b/src/discovery/view.rs
@@ -38,6 +38,8 @@
     searchers_verified_us: Option<u64>,
     /// The store revision up to which all searchers are known.
     searchers_as_of: registry::StoreRevision,
+    /// When that was the store's revision; `None` if that is not known.
+    searchers_as_of_us: Option<u64>,
     config_verified_us: Option<u64>,
     /// The newest version that another instance has, as far as it is known.
     newest_config: config::ConfigVersion,
@@ -65,6 +67,7 @@
                 previous_config: None,
                 searchers_verified_us: None,
                 searchers_as_of: registry::StoreRevision::default(),
+                searchers_as_of_us: None,
                 config_verified_us: None,
                 newest_config: config::ConfigVersion::default(),
             }),
@@ -157,10 +160,23 @@
         is_old || locks::lock(&self.inner).newest_config > version
     }
 
-    /// Records the store revision up to which all searchers are known.
-    pub fn set_searchers_as_of(&self, as_of: registry::StoreRevision) {
+    /// Records that all searchers are known up to this store revision, which was the store's `age_us` ago.
+    pub fn set_searchers_as_of(&self, as_of: registry::StoreRevision, age_us: u64) {
+        let at_us = clock::now_us().saturating_sub(age_us);
         let mut inner = locks::lock(&self.inner);
-        inner.searchers_as_of = inner.searchers_as_of.max(as_of);
+        if as_of < inner.searchers_as_of {
+            return;
+        }
+        inner.searchers_as_of = as_of;
+        inner.searchers_as_of_us = inner.searchers_as_of_us.max(Some(at_us));
+    }
+
+    /// The store revision up to which all searchers are known, and how long ago it was the store's; `None` if that is
+    /// not known.
+    pub fn searchers_as_of(&self) -> Option<(registry::StoreRevision, u64)> {
+        let inner = locks::lock(&self.inner);
+        let at_us = inner.searchers_as_of_us?;
+        Some((inner.searchers_as_of, clock::now_us().saturating_sub(at_us)))
     }
 
     /// All records of searchers, and the store revision up to which they are complete.
@@ -179,7 +195,8 @@
         let removals = self.with_registry(|registry| registry.removals_missing_in(&all, as_of));
         all.extend(removals);
         self.apply_searchers(all, 0);
-        self.set_searchers_as_of(as_of);
+        let mut inner = locks::lock(&self.inner);
+        inner.searchers_as_of = inner.searchers_as_of.max(as_of);
     }
 
     /// Applies reports on searchers and publishes those that changed the registry. `age_us` is logged only.
--- a/src/events.rs
+++ b/src/events.rs
@@ -58,6 +58,8 @@
     SubscriberLost = 407,
     /// The instances that clients are sent to changed.
     ActiveChanged = 408,
+    /// The instance reads the store in place of the readers, whose state became old.
+    StandIn = 409,
     /// A connection could not be accepted.
     AcceptFailed = 500,
     /// A request was answered completely and in time.
--- a/src/node.rs
+++ b/src/node.rs
@@ -38,6 +38,8 @@
     pub regions: Vec<(CompactString, CompactString)>,
     /// The time limits within which changes have to take effect.
     pub bounds: reader::Bounds,
+    /// How often searchers renew their entries in the store; `None` if it is not known.
+    pub renewal_period: Option<time::Duration>,
     /// The rate of the instance's link; `None` if it is not known.
     pub link: Option<pacer::ByteRate>,
     /// The budget of hedges and retries.
@@ -153,6 +155,7 @@
         &settings.seeds,
         settings.is_first_start,
         settings.bounds,
+        settings.renewal_period,
         metrics,
     );
     tokio::spawn(reader.run());
@@ -184,10 +187,7 @@
         config_age_ms = ages.config_us.map(|us| us / 1_000),
         searchers_age_ms = ages.searchers_us.map(|us| us / 1_000)
     );
-    view.change_members(|members| {
-        let reaches_store = members.me().reaches_store;
-        members.set_me(members::MemberState::Ready, reaches_store)
-    });
+    view.change_members(|members| members.set_my_state(members::MemberState::Ready));
 }
 
 /// Shuts down gracefully: first the instance is removed from the directory, then idle connections are
@@ -197,10 +197,7 @@
     event!(info, Event::InstanceStopping, open_connections = server.connection_count());
     let started_us = clock::now_us();
     let elapsed = || time::Duration::from_micros(clock::now_us() - started_us);
-    view.change_members(|members| {
-        let reaches_store = members.me().reaches_store;
-        members.set_me(members::MemberState::Draining, reaches_store)
-    });
+    view.change_members(|members| members.set_my_state(members::MemberState::Draining));
     let time_limit = grace.saturating_sub(GRACE_MARGIN);
     let answer_time = time_limit.saturating_sub(LAST_ANSWER_MARGIN);
     server.start_draining(started_us + answer_time.as_micros() as u64);
--- a/tests/forward_members.rs
+++ b/tests/forward_members.rs
@@ -70,6 +70,69 @@
     assert!(names(&view.readers()).contains(&resumed), "a frozen instance may have resumed");
 }
 
+/// Guards against a move of all connections, which splits the membership and delays what is new, because the store turns
+/// the readers away: only the reader role moves, and the hubs follow the new readers.
+#[test]
+fn hubs_that_are_cut_off_from_the_store_stay_hubs_and_follow_the_new_readers() {
+    let mut fleet = fleet(30);
+    let first = names(&view(&fleet, 0).hubs());
+    assert_eq!(first, names(&view(&fleet, 0).readers()));
+    for member in &mut fleet {
+        member.reaches_store = !first.contains(&member.name.to_string());
+    }
+    let hub = fleet.iter().position(|member| member.name.as_str() == first[0]).unwrap();
+    let other = fleet.iter().position(|member| !first.contains(&member.name.to_string())).unwrap();
+    fleet[other].stands_in = true;
+    let address_of =
+        |name: &String| fleet.iter().find(|member| member.name.as_str() == name).unwrap().control;
+    for at in [hub, other] {
+        let view = view(&fleet, at);
+        assert_eq!(names(&view.hubs()), first);
+        let readers = names(&view.readers());
+        assert!(readers.iter().all(|name| !first.contains(name)), "{readers:?}");
+        let mut expected: Vec<net::SocketAddr> = first.iter().map(address_of).collect();
+        if at == hub {
+            expected.extend(readers.iter().map(address_of));
+            expected.push(fleet[other].control);
+        }
+        expected.retain(|address| *address != fleet[at].control);
+        expected.sort();
+        expected.dedup();
+        assert_eq!(view.selected_sources(), expected);
+    }
+}
+
+#[test]
+fn the_next_instances_of_a_region_stand_in_for_its_readers() {
+    let mut fleet = fleet(30);
+    let readers = names(&view(&fleet, 0).readers());
+    let ranks = |fleet: &[members::Member]| -> Vec<(String, Option<usize>)> {
+        let ranks = (0..fleet.len())
+            .map(|at| (fleet[at].region.to_string(), view(fleet, at).stand_in_rank()));
+        ranks.collect()
+    };
+    for region in REGIONS {
+        let mut found: Vec<usize> =
+            ranks(&fleet).iter().filter(|(of, _)| of == region).filter_map(|(_, r)| *r).collect();
+        found.sort();
+        assert_eq!(found, (0..found.len()).collect::<Vec<usize>>());
+    }
+    let without: Vec<usize> =
+        (0..30).filter(|at| view(&fleet, *at).stand_in_rank().is_none()).collect();
+    let names_without: Vec<String> = without.iter().map(|at| fleet[*at].name.to_string()).collect();
+    assert_eq!(
+        {
+            let mut sorted = names_without;
+            sorted.sort();
+            sorted
+        },
+        readers
+    );
+    let first = (0..30).find(|at| view(&fleet, *at).stand_in_rank() == Some(0)).unwrap();
+    fleet[first].state = members::MemberState::Draining;
+    assert_eq!(view(&fleet, first).stand_in_rank(), None, "it is about to stop");
+}
+
 #[test]
 fn members_of_a_lost_source_stay_live_for_a_while() {
     let fleet = fleet(6);
--- a/tests/forward_registry.rs
+++ b/tests/forward_registry.rs
@@ -94,6 +94,35 @@
     }
 }
 
+/// Guards against removals that are held back although the store was up: it had turned some instances away, and the one
+/// that reads instead took its own old view for an outage.
+#[test]
+fn renewals_show_that_the_store_was_up() {
+    let progress =
+        |elapsed_us: u64, revision_count: u64, removal_count: usize| registry::StoreProgress {
+            elapsed_us,
+            revision_count,
+            removal_count,
+            searcher_count: 100,
+            renewal_period_us: 1_200_000,
+        };
+    // Seconds that have passed, changes, removals among them, and whether lapses are ruled out.
+    let cases = [
+        (2.4, 0, 0, true),
+        (3.0, 250, 1, true),
+        (3.0, 170, 0, true),
+        (6.0, 500, 5, true),
+        (6.0, 100, 0, false),
+        // Down for 4.8 of 6 s: half of the entries have lapsed, and all others were renewed at the end.
+        (6.0, 100 + 50 + 50, 50, false),
+        (9.0, 0, 0, false),
+    ];
+    for (elapsed_s, revisions, removals, rules_out) in cases {
+        let progress = progress((elapsed_s * 1e6) as u64, revisions, removals);
+        assert_eq!(progress.rules_out_lapses(), rules_out, "{progress:?}");
+    }
+}
+
 /// Guards against a report from other operators: after a restart, a server that had left was in use again. A restarted
 /// instance hears of it from a source that is behind, and the others have no record of its removal, since they started
 /// after it.
--- a/tests/forward_support/mod.rs
+++ b/tests/forward_support/mod.rs
@@ -147,6 +147,7 @@
         cpu_millicores: 250,
         state: members::MemberState::Ready,
         reaches_store: true,
+        stands_in: false,
     }
 }
 
