Never trust a connection again that carried an answer without an id

Cause: a rejection has no request id. The guard against late copies of it kept only whether the last answer on the connection had an id; one more answer, to an idempotent request, cleared it while the copy was still to come.

Change: the flag holds for the life of the connection. Where a searcher has only such idle connections, the oldest is closed to make room for a new one.

Why it works: a copy can arrive after any number of other answers, but only on the connection of the original.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -90,6 +90,8 @@
     sender: http1::SendRequest<Full<Bytes>>,
     /// Whether it carried an earlier request.
     is_reused: bool,
+    /// Whether all answers on it so far had the ids of their requests.
+    is_identified: bool,
     /// Until when a reset may mean that the searcher accepts no more connections.
     may_be_reset_until_us: u64,
 }
@@ -168,6 +170,11 @@
     match result {
         Ok((result, terms)) => {
             if outgoing.body.len() <= REUSE_BODY_MAX_BYTES {
+                // A late copy of an answer may still arrive after any number of others.
+                let terms = ReuseTerms {
+                    is_identified: terms.is_identified && connection.is_identified,
+                    ..terms
+                };
                 tokio::spawn(reuse(endpoint.clone(), connection.sender, terms));
             }
             result
@@ -182,7 +189,12 @@
     needs_identified: bool,
 ) -> Result<Connection, SendResult> {
     if let Some(idle) = endpoint.take_idle(needs_identified) {
-        return Ok(Connection { sender: idle.sender, is_reused: true, may_be_reset_until_us: 0 });
+        return Ok(Connection {
+            sender: idle.sender,
+            is_reused: true,
+            is_identified: idle.is_identified,
+            may_be_reset_until_us: 0,
+        });
     }
     let guard = endpoint.track_connection();
     let started_us = clock::now_us();
@@ -222,7 +234,7 @@
         }
     }
     let may_be_reset_until_us = connected_us + reset_time.as_micros() as u64;
-    Ok(Connection { sender, is_reused: false, may_be_reset_until_us })
+    Ok(Connection { sender, is_reused: false, is_identified: true, may_be_reset_until_us })
 }
 
 fn build_request(
@@ -249,7 +261,7 @@
 struct ReuseTerms {
     /// The idle timeout that the searcher states; `None` if it states none.
     keep_alive_us: Option<u64>,
-    /// Whether the answer had the id of its request.
+    /// Whether the answers had the ids of their requests.
     is_identified: bool,
 }
 
--- a/src/forward/endpoint.rs
+++ b/src/forward/endpoint.rs
@@ -49,7 +49,7 @@
     pub sender: http1::SendRequest<Full<Bytes>>,
     /// The time, by [`clock::now_us`], from which it is not used any more.
     pub expires_us: u64,
-    /// Whether the last answer on it had the id of its request, so that a late copy of it can be told from the answer to
+    /// Whether all answers on it had the ids of their requests, so that a late copy of one can be told from the answer to
     /// the next request.
     pub is_identified: bool,
 }
@@ -89,17 +89,22 @@
     }
 
     /// Takes the idle connection that was used last, skipping expired and closed ones and, if `needs_identified`, those
-    /// that are not [`IdleConnection::is_identified`]. `None` if there is none.
+    /// that are not [`IdleConnection::is_identified`]. `None` if there is none; the searcher's limit of connections then
+    /// has to have room for another one, so that the one that was idle longest is closed.
     pub fn take_idle(&self, needs_identified: bool) -> Option<IdleConnection> {
         let now_us = clock::now_us();
         let mut idle = locks::lock(&self.idle);
         idle.retain(|idle| idle.sender.is_ready() && now_us < idle.expires_us);
-        let index = idle.iter().rposition(|idle| idle.is_identified || !needs_identified)?;
-        Some(idle.remove(index))
+        let index = idle.iter().rposition(|idle| idle.is_identified || !needs_identified);
+        if index.is_none() && !idle.is_empty() {
+            idle.remove(0);
+        }
+        index.map(|index| idle.remove(index))
     }
 
     /// Keeps a connection for the next request. `keep_alive_us` is the idle timeout that the searcher
-    /// states, `None` if it states none; `is_identified` whether its last answer had the id of its request.
+    /// states, `None` if it states none; `is_identified` whether all answers on it had the ids of their
+    /// requests.
     pub fn put_idle(
         &self,
         sender: http1::SendRequest<Full<Bytes>>,
