Bound the memory and the processor time of bytes without end

Cause: the bound for all answers counted received bytes, not the memory that holds them, and any answer could use all of it; the HTTP client's buffer grows to 417 kB a connection, and it skips informational responses without a bound; frames between instances were given the memory that their length claims.

--- a/src/discovery/feed.rs
+++ b/src/discovery/feed.rs
@@ -12,6 +12,9 @@
 /// The largest frame: a configuration of one megabyte plus a margin.
 pub const FRAME_MAX_BYTES: usize = 4 << 20;
 
+/// The largest frame from a subscriber: the timeouts of clients on some ten thousand routes.
+pub const REQUEST_MAX_BYTES: usize = 256 << 10;
+
 /// The key of the frames' checksums. The platform gives instances no shared secret, so the checksums detect
 /// corruption and accidental connections from other software, but not forgery.
 pub const FRAME_KEY: [u8; 32] = *b"tarragondoor feed frames, v3\0\0\0\0";
--- a/src/discovery/publisher.rs
+++ b/src/discovery/publisher.rs
@@ -99,7 +99,7 @@
     let mut codec = feed::subscriber_codec();
     loop {
         let request = async {
-            let payload = frame::read(&mut read, feed::FRAME_MAX_BYTES).await?;
+            let payload = frame::read(&mut read, feed::REQUEST_MAX_BYTES).await?;
             codec.decode::<feed::Request>(&payload)
         };
         let Ok(Ok(request)) = tokio::time::timeout(SUBSCRIBER_TIMEOUT, request).await else {
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -19,6 +19,7 @@
 pub mod merge;
 pub mod metrics;
 pub mod query;
+pub mod read_limit;
 pub mod response;
 pub mod retry_after;
 pub mod run;
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -7,9 +7,9 @@
 use crate::forward::endpoint;
 use crate::forward::header;
 use crate::forward::query;
+use crate::forward::read_limit;
 use crate::forward::retry_after;
 use bytes::Bytes;
-use bytes::BytesMut;
 use compact_str::CompactString;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
@@ -30,6 +30,11 @@
 const RESTART_US: u64 = 8_000_000;
 /// How long to wait after an answer for the connection to be ready for the next request.
 const REUSE_TIMEOUT: time::Duration = time::Duration::from_millis(50);
+/// The size limit of an answer's head, and of the bytes of its body that are read at once.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+/// How much is read from a connection before the head of an answer is complete: informational responses, the head, and the
+/// bytes of the body that are read with it.
+const HEAD_READ_BYTES: usize = 4 * READ_BUFFER_BYTES;
 /// The size limit of an answer's body.
 const ANSWER_MAX_BYTES: usize = 8 << 20;
 /// The largest request body after which a connection is reused. A searcher may answer before it has read all
@@ -88,6 +93,8 @@
 /// A connection to a searcher.
 struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    /// How much may still be read from it.
+    allowance: read_limit::Allowance,
     /// Whether it carried an earlier request.
     is_reused: bool,
     /// Whether all answers on it so far had the ids of their requests.
@@ -145,6 +152,7 @@
             return SendResult::new(query::Outcome::NotSent, report, error.to_string());
         }
     };
+    connection.allowance.set(HEAD_READ_BYTES);
     let response = match connection.sender.try_send_request(request).await {
         Ok(response) => response,
         Err(mut error) => {
@@ -166,6 +174,7 @@
             return Box::pin(exchange(endpoint, outgoing, headers, buffer, sent_us)).await;
         }
     };
+    connection.allowance.set(ANSWER_MAX_BYTES + HEAD_READ_BYTES);
     let result = read_answer(response, endpoint, outgoing, headers, buffer, sent_us).await;
     match result {
         Ok((result, terms)) => {
@@ -175,7 +184,7 @@
                     is_identified: terms.is_identified && connection.is_identified,
                     ..terms
                 };
-                tokio::spawn(reuse(endpoint.clone(), connection.sender, terms));
+                tokio::spawn(reuse(endpoint.clone(), connection, terms));
             }
             result
         }
@@ -191,6 +200,7 @@
     if let Some(idle) = endpoint.take_idle(needs_identified) {
         return Ok(Connection {
             sender: idle.sender,
+            allowance: idle.allowance,
             is_reused: true,
             is_identified: idle.is_identified,
             may_be_reset_until_us: 0,
@@ -208,7 +218,11 @@
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "could not set TCP_NODELAY");
     }
-    let (sender, connection) = match http1::handshake(TokioIo::new(stream)).await {
+    let allowance = read_limit::Allowance::new(HEAD_READ_BYTES);
+    let stream = read_limit::Limited::new(stream, allowance.clone());
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(READ_BUFFER_BYTES);
+    let (sender, connection) = match builder.handshake(TokioIo::new(stream)).await {
         Ok(parts) => parts,
         Err(error) => return Err(SendResult::not_sent(error.to_string())),
     };
@@ -234,7 +248,13 @@
         }
     }
     let may_be_reset_until_us = connected_us + reset_time.as_micros() as u64;
-    Ok(Connection { sender, is_reused: false, is_identified: true, may_be_reset_until_us })
+    Ok(Connection {
+        sender,
+        allowance,
+        is_reused: false,
+        is_identified: true,
+        may_be_reset_until_us,
+    })
 }
 
 fn build_request(
@@ -339,21 +359,29 @@
     buffer: &sync::Arc<answer_buffer::AnswerBuffer>,
 ) -> Result<Bytes, BodyError> {
     let mut reservation = buffer.start_answer();
-    let mut bytes = BytesMut::new();
+    let mut bytes: Vec<u8> = Vec::new();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else {
             // Trailers are not used.
             continue;
         };
-        if bytes.len() + data.len() > ANSWER_MAX_BYTES {
+        let length = bytes.len() + data.len();
+        if length > ANSWER_MAX_BYTES {
             return Err(BodyError::TooLong);
         }
-        if !reservation.grow(data.len()) {
-            return Err(BodyError::BufferFull);
+        if length > bytes.capacity() {
+            let old_capacity = bytes.capacity();
+            let capacity = length.max((old_capacity * 2).min(ANSWER_MAX_BYTES));
+            // Both allocations exist while the bytes are copied.
+            if !reservation.grow(capacity) {
+                return Err(BodyError::BufferFull);
+            }
+            bytes.reserve_exact(capacity - bytes.len());
+            reservation.shrink(old_capacity);
         }
         bytes.extend_from_slice(&data);
     }
-    Ok(bytes.freeze())
+    Ok(Bytes::from(bytes))
 }
 
 /// Reads what the searcher says of itself besides the answer.
@@ -403,11 +431,12 @@
 /// Returns the connection to the idle ones as soon as it is ready for another request.
 async fn reuse(
     endpoint: sync::Arc<endpoint::Endpoint>,
-    mut sender: http1::SendRequest<Full<Bytes>>,
+    mut connection: Connection,
     terms: ReuseTerms,
 ) {
     // A connection that is closed or not ready in time is dropped.
-    if let Ok(Ok(())) = tokio::time::timeout(REUSE_TIMEOUT, sender.ready()).await {
-        endpoint.put_idle(sender, terms.keep_alive_us, terms.is_identified);
+    if let Ok(Ok(())) = tokio::time::timeout(REUSE_TIMEOUT, connection.sender.ready()).await {
+        let Connection { sender, allowance, .. } = connection;
+        endpoint.put_idle(sender, allowance, terms.keep_alive_us, terms.is_identified);
     }
 }
--- a/src/forward/endpoint.rs
+++ b/src/forward/endpoint.rs
@@ -6,6 +6,7 @@
 use crate::events::Event;
 use crate::forward::connection_limit;
 use crate::forward::limit;
+use crate::forward::read_limit;
 use crate::locks;
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -47,6 +48,8 @@
 pub struct IdleConnection {
     /// Sends requests on the connection.
     pub sender: http1::SendRequest<Full<Bytes>>,
+    /// How much may still be read from it.
+    pub allowance: read_limit::Allowance,
     /// The time, by [`clock::now_us`], from which it is not used any more.
     pub expires_us: u64,
     /// Whether all answers on it had the ids of their requests, so that a late copy of one can be told from the answer to
@@ -108,13 +111,19 @@
     pub fn put_idle(
         &self,
         sender: http1::SendRequest<Full<Bytes>>,
+        allowance: read_limit::Allowance,
         keep_alive_us: Option<u64>,
         is_identified: bool,
     ) {
         let keep_us = keep_alive_us
             .map_or(IDLE_TIMEOUT_US, |timeout_us| timeout_us.saturating_sub(IDLE_MARGIN_US));
         let expires_us = clock::now_us() + keep_us;
-        locks::lock(&self.idle).push(IdleConnection { sender, expires_us, is_identified });
+        locks::lock(&self.idle).push(IdleConnection {
+            sender,
+            allowance,
+            expires_us,
+            is_identified,
+        });
     }
 
     /// Drops idle connections that have expired or are closed.
--- a/src/frame.rs
+++ b/src/frame.rs
@@ -149,11 +149,22 @@
     if !(MAC_BYTES..=MAC_BYTES + max_bytes).contains(&length) {
         return Err(FrameError::Length(length));
     }
-    let mut payload = vec![0; length];
-    stream.read_exact(&mut payload).await?;
+    let mut payload = Vec::new();
+    while payload.len() < length {
+        let part = extend_by_part(&mut payload, length);
+        stream.read_exact(part).await?;
+    }
     Ok(payload)
 }
 
+/// Makes room for the next part of a payload of `length` bytes and returns it. Memory is allocated for what has arrived,
+/// whatever the length claims.
+fn extend_by_part(payload: &mut Vec<u8>, length: usize) -> &mut [u8] {
+    let start = payload.len();
+    payload.resize((start + PART_BYTES).min(length), 0);
+    &mut payload[start..]
+}
+
 /// Reads the payload of one frame as [`read`] does, and allows `timeout` for its length and for each further
 /// [`PART_BYTES`], so that a large frame over a slow link is not taken for silence.
 ///
@@ -172,9 +183,9 @@
     if !(MAC_BYTES..=MAC_BYTES + max_bytes).contains(&length) {
         return Err(FrameError::Length(length));
     }
-    let mut payload = vec![0; length];
-    for part in payload.chunks_mut(PART_BYTES) {
-        read_part(stream, part, timeout).await?;
+    let mut payload = Vec::new();
+    while payload.len() < length {
+        read_part(stream, extend_by_part(&mut payload, length), timeout).await?;
     }
     Ok(payload)
 }
