Send members as changes

Cause, one part: a hub sent the list of all members, 26 kB, to some 98 instances on each change, and all searchers, 56 kB, to each instance that connects, over half of a link of 20 Mbit/s: 2.1 s and 4.4 s (worked out) in which nothing else is sent.

Change: after the first list on a connection only what has changed is sent; all searchers only if the digest in the hello differs.

--- a/src/discovery/feed.rs
+++ b/src/discovery/feed.rs
@@ -28,6 +28,8 @@
         member: members::Member,
         /// The version of its configuration; 0 if it has none.
         config: config::ConfigVersion,
+        /// The digest of its searchers.
+        searchers: registry::Digest,
     },
     /// Requests the complete configuration.
     SendConfig,
@@ -42,7 +44,7 @@
 #[strum(serialize_all = "snake_case")]
 pub enum Update {
     /// All searchers, in reply to [`Request::SendSearchers`]. Subscribers in the source's region also get all
-    /// of them after their first hello.
+    /// of them after their first hello if theirs differ.
     AllSearchers {
         /// The store revision up to which they are complete.
         as_of: registry::StoreRevision,
@@ -51,8 +53,10 @@
     },
     /// The changed searchers, for subscribers in the source's region.
     Searchers(Vec<registry::SearcherChange>),
-    /// The source and all instances connected to it.
+    /// The source and all instances connected to it, sorted by name.
     Members(Vec<members::Member>),
+    /// What has changed in them since they were last sent on the connection.
+    MembersDelta(members::MembersDelta),
     /// The complete configuration.
     Config(Box<config::Config>),
     /// The changes from the previous configuration.
--- a/src/discovery/members.rs
+++ b/src/discovery/members.rs
@@ -46,6 +46,36 @@
     pub stands_in: bool,
 }
 
+/// The differences between two lists of members.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MembersDelta {
+    /// Members that were added or changed.
+    pub changed: Vec<Member>,
+    /// Names of members that are gone.
+    pub gone: Vec<ids::InstanceName>,
+}
+
+impl MembersDelta {
+    /// The delta from `old` to `new`, both sorted by name.
+    pub fn between(old: &[Member], new: &[Member]) -> Self {
+        let position = |members: &[Member], name: &ids::InstanceName| {
+            members.binary_search_by(|member| member.name.cmp(name)).ok()
+        };
+        let mut delta = Self::default();
+        for member in new {
+            if position(old, &member.name).is_none_or(|at| old[at] != *member) {
+                delta.changed.push(member.clone());
+            }
+        }
+        for member in old {
+            if position(new, &member.name).is_none() {
+                delta.gone.push(member.name.clone());
+            }
+        }
+        delta
+    }
+}
+
 /// The instances known to this one, directly or through its sources.
 #[derive(Clone, Debug)]
 pub struct Members {
@@ -148,6 +178,24 @@
         }
     }
 
+    /// Applies changes of the members reported by a source. Returns whether anything changed.
+    pub fn apply_source_delta(&mut self, source: net::SocketAddr, delta: MembersDelta) -> bool {
+        // The complete list comes first on each connection.
+        let Some(known) = self.sources.iter_mut().find(|known| known.source == source) else {
+            return false;
+        };
+        let mut members = known.members.clone();
+        members.retain(|member| !delta.gone.contains(&member.name));
+        for changed in delta.changed {
+            match members.iter_mut().find(|member| member.name == changed.name) {
+                Some(member) => *member = changed,
+                None => members.push(changed),
+            }
+        }
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        self.set_source_members(source, members)
+    }
+
     /// Records that a source is no longer needed. What it reported, about itself too, stays until it expires.
     pub fn release_source(&mut self, now_us: u64, source: net::SocketAddr) {
         for known in &mut self.sources {
--- a/src/discovery/publisher.rs
+++ b/src/discovery/publisher.rs
@@ -79,6 +79,7 @@
         needs_config: false,
         needs_searchers: false,
         members_change: None,
+        sent_members: None,
         planned: None,
         timeouts_told: None,
     };
@@ -153,6 +154,8 @@
     /// Whether the subscriber is to be sent all searchers.
     needs_searchers: bool,
     members_change: Option<MembersChange>,
+    /// The members that the subscriber knows of; `None` if it was sent none.
+    sent_members: Option<sync::Arc<[members::Member]>>,
     planned: Option<PlannedFrame>,
     /// The number of changes of clients' timeouts when they were last told, and when that was.
     timeouts_told: Option<(u64, u64)>,
@@ -165,6 +168,7 @@
     ) -> Result<(), frame::FrameError> {
         let mut heartbeat = tokio::time::interval(HEARTBEAT_PERIOD);
         heartbeat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut members_changed = self.view.members_epoch();
         loop {
             self.plan_requested()?;
             let planned_at = self.planned.as_ref().map(|planned| planned.slot.send_at(0));
@@ -172,7 +176,9 @@
             let members_at = self.members_change.filter(|_| is_free).map(|change| change.due_at);
             tokio::select! {
                 request = requests.recv() => match request {
-                    Some(feed::Request::Hello { member, config }) => self.hello(member, config).await?,
+                    Some(feed::Request::Hello { member, config, searchers }) => {
+                        self.hello(member, config, searchers).await?;
+                    }
                     Some(feed::Request::SendConfig) => self.needs_config = true,
                     Some(feed::Request::SendSearchers) => self.needs_searchers = true,
                     Some(feed::Request::ClientTimeouts(timeouts)) => self.view.tell_client_timeouts(&timeouts),
@@ -183,6 +189,8 @@
                     Err(broadcast::error::RecvError::Lagged(_)) => self.send_all().await?,
                     Err(broadcast::error::RecvError::Closed) => return Ok(()),
                 },
+                // Can't fail: the session holds the view, which owns the sender.
+                _ = members_changed.changed(), if self.subscriber.is_some() => self.note_members_change(),
                 _ = heartbeat.tick(), if self.subscriber.is_some() => {
                     self.send_heartbeat().await?;
                     self.tell_client_timeouts().await?;
@@ -197,6 +205,7 @@
         &mut self,
         member: members::Member,
         config: config::ConfigVersion,
+        searchers: registry::Digest,
     ) -> Result<(), frame::FrameError> {
         let is_new = self.subscriber.is_none();
         self.subscriber = Some(member.clone());
@@ -208,7 +217,10 @@
             return Ok(());
         }
         self.needs_config = config < self.view.config_version();
-        self.send_all().await
+        self.needs_searchers = self.is_same_region() && searchers != self.view.digest();
+        let now = Instant::now();
+        self.members_change = Some(MembersChange { changed_at: now, due_at: now });
+        self.send_heartbeat().await
     }
 
     /// Whether the subscriber is in this instance's region.
@@ -224,8 +236,15 @@
             return Ok(());
         };
         self.metrics.record_members_delay(change.changed_at.elapsed().as_secs_f64());
-        let members = self.view.with_members(|members| members.connected_members());
-        self.plan(&feed::Update::Members(members), false)
+        let members = self.view.published_members();
+        let update = match &self.sent_members {
+            Some(sent) => {
+                feed::Update::MembersDelta(members::MembersDelta::between(sent, &members))
+            }
+            None => feed::Update::Members(members.to_vec()),
+        };
+        self.sent_members = Some(members);
+        self.plan(&update, false)
     }
 
     /// Plans the next of the requested updates, unless one is planned already.
@@ -246,27 +265,31 @@
         Ok(())
     }
 
-    /// Sends a heartbeat and, within the region, the searchers and the members, but not the configuration: the
-    /// subscriber requests it if the heartbeat has a newer version.
+    /// Sends a heartbeat and, within the region, the searchers, but not the configuration: the subscriber requests it if
+    /// the heartbeat has a newer version.
     async fn send_all(&mut self) -> Result<(), frame::FrameError> {
         self.needs_searchers = self.is_same_region();
-        let now = Instant::now();
-        let changed_at = self.members_change.map_or(now, |change| change.changed_at);
-        self.members_change = Some(MembersChange { changed_at, due_at: now });
         self.send_heartbeat().await
     }
 
+    /// Notes a change of the members. They are sent after a delay, since many instances may start at once.
+    fn note_members_change(&mut self) {
+        let members = self.view.published_members();
+        let is_sent =
+            self.sent_members.as_ref().is_some_and(|sent| sync::Arc::ptr_eq(sent, &members));
+        if is_sent {
+            return;
+        }
+        let now = Instant::now();
+        let due_at = now + MEMBERS_BATCH_DELAY;
+        self.members_change.get_or_insert(MembersChange { changed_at: now, due_at });
+    }
+
     /// Forwards an update. Searchers and configurations go to subscribers in the same region only: traffic
     /// between regions is expensive, and subscribers elsewhere request what the reader of their own region
     /// has not sent.
     async fn forward(&mut self, update: &feed::Update) -> Result<(), frame::FrameError> {
         match update {
-            feed::Update::Members(_) => {
-                let now = Instant::now();
-                let due_at = now + MEMBERS_BATCH_DELAY;
-                self.members_change.get_or_insert(MembersChange { changed_at: now, due_at });
-                Ok(())
-            }
             feed::Update::Searchers(_) if !self.is_same_region() => Ok(()),
             feed::Update::Config(_) | feed::Update::ConfigDelta(_) if !self.is_same_region() => {
                 self.send_heartbeat().await
--- a/src/discovery/subscriber.rs
+++ b/src/discovery/subscriber.rs
@@ -244,7 +244,11 @@
 
     fn hello(&self) -> feed::Request {
         let member = self.view.with_members(|members| members.me().clone());
-        feed::Request::Hello { member, config: self.view.config_version() }
+        feed::Request::Hello {
+            member,
+            config: self.view.config_version(),
+            searchers: self.view.digest(),
+        }
     }
 
     /// What to tell the source of clients' timeouts; `None` if it knows.
@@ -266,6 +270,10 @@
                 let address = self.address;
                 self.view.change_members(|known| known.set_source_members(address, members));
             }
+            feed::Update::MembersDelta(delta) => {
+                let address = self.address;
+                self.view.change_members(|known| known.apply_source_delta(address, delta));
+            }
             feed::Update::ClientTimeouts(timeouts) => self.view.tell_client_timeouts(&timeouts),
             feed::Update::Config(config) => {
                 self.view.offer_config(*config, 0);
--- a/src/discovery/view.rs
+++ b/src/discovery/view.rs
@@ -33,7 +33,7 @@
     digest: registry::Digest,
     members: members::Members,
     /// The member list last published to subscribers.
-    published_members: Vec<members::Member>,
+    published_members: sync::Arc<[members::Member]>,
     previous_config: Option<sync::Arc<config::Config>>,
     searchers_verified_us: Option<u64>,
     /// The store revision up to which all searchers are known.
@@ -57,13 +57,15 @@
 impl View {
     /// Creates a view that contains only this instance.
     pub fn new(me: members::Member) -> Self {
+        let members = members::Members::new(me);
+        let published_members = members.connected_members().into();
         Self {
             table: arc_swap::ArcSwapOption::empty(),
             inner: sync::Mutex::new(Inner {
                 registry: registry::Registry::default(),
                 digest: registry::Registry::default().digest(),
-                members: members::Members::new(me),
-                published_members: Vec::new(),
+                members,
+                published_members,
                 previous_config: None,
                 searchers_verified_us: None,
                 searchers_as_of: registry::StoreRevision::default(),
@@ -297,22 +299,23 @@
         read(&locks::lock(&self.inner).members)
     }
 
-    /// Changes the members. If `change` returns true, [`View::members_epoch`] increases, and a list of
-    /// connected members that differs from the last published one is published.
+    /// This instance and those connected to it, sorted by name.
+    pub fn published_members(&self) -> sync::Arc<[members::Member]> {
+        locks::lock(&self.inner).published_members.clone()
+    }
+
+    /// Changes the members. If `change` returns true, [`View::members_epoch`] increases.
     pub fn change_members(&self, change: impl FnOnce(&mut members::Members) -> bool) {
-        let connected = {
+        {
             let mut inner = locks::lock(&self.inner);
             if !change(&mut inner.members) {
                 return;
             }
+            // Member lists received from sources are not published: each instance connects to the hubs itself.
             let connected = inner.members.connected_members();
-            let is_changed = connected != inner.published_members;
-            inner.published_members.clone_from(&connected);
-            is_changed.then_some(connected)
-        };
-        // Member lists received from sources are not published: each instance connects to the readers itself.
-        if let Some(connected) = connected {
-            self.publish(feed::Update::Members(connected));
+            if *connected != *inner.published_members {
+                inner.published_members = connected.into();
+            }
         }
         self.members_epoch.send_modify(|epoch| *epoch += 1);
     }
