Send small updates ahead of large ones, and compress these

Cause, the other part: all updates to a subscriber shared one queue, so that a small configuration or a searcher that leaves waited behind searchers that register (30 kB for 405 of them) and configurations of 1,400 routes (61 kB), each sent to 98 instances.

Large ones are compressed (flate2, new) and encoded once for all subscribers. Heartbeats are silent only about what waits to be sent.

--- a/src/discovery/feed.rs
+++ b/src/discovery/feed.rs
@@ -7,7 +7,12 @@
 use crate::discovery::members;
 use crate::discovery::registry;
 use crate::frame;
+use flate2::read;
+use flate2::write;
 use serde::{Deserialize, Serialize};
+use std::io;
+use std::io::Read as _;
+use std::io::Write as _;
 
 /// The largest frame: a configuration of one megabyte plus a margin.
 pub const FRAME_MAX_BYTES: usize = 4 << 20;
@@ -15,6 +20,9 @@
 /// The largest frame from a subscriber: the timeouts of clients on some ten thousand routes.
 pub const REQUEST_MAX_BYTES: usize = 256 << 10;
 
+/// Updates that are at least this large are compressed.
+const COMPRESS_MIN_BYTES: usize = 2 << 10;
+
 /// The key of the frames' checksums. The platform gives instances no shared secret, so the checksums detect
 /// corruption and accidental connections from other software, but not forgery.
 pub const FRAME_KEY: [u8; 32] = *b"tarragondoor feed frames, v3\0\0\0\0";
@@ -63,6 +71,8 @@
     ConfigDelta(Box<config::ConfigDelta>),
     /// The longest timeouts that clients have stated to instances of the source's region.
     ClientTimeouts(Vec<client_wait::LongestTimeout>),
+    /// Another update, encoded and compressed.
+    Compressed(Vec<u8>),
     /// Sent periodically: how recent the source's state is.
     Heartbeat {
         /// The version of the source's configuration; 0 if it has none.
@@ -79,6 +89,44 @@
     },
 }
 
+impl Update {
+    /// Encodes the update, and compresses it if it is large.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>, frame::FrameError> {
+        let body = postcard::to_stdvec(self)?;
+        if body.len() < COMPRESS_MIN_BYTES {
+            return Ok(body);
+        }
+        let mut encoder = write::DeflateEncoder::new(Vec::new(), flate2::Compression::fast());
+        encoder.write_all(&body)?;
+        Ok(postcard::to_stdvec(&Self::Compressed(encoder.finish()?))?)
+    }
+
+    /// Returns the update that a received one stands for.
+    ///
+    /// # Errors
+    ///
+    /// When a compressed update is malformed or larger than [`FRAME_MAX_BYTES`].
+    pub fn decompress(self) -> Result<Self, frame::FrameError> {
+        let Self::Compressed(bytes) = self else {
+            return Ok(self);
+        };
+        let mut body = Vec::new();
+        let decoder = read::DeflateDecoder::new(bytes.as_slice());
+        decoder.take(FRAME_MAX_BYTES as u64 + 1).read_to_end(&mut body)?;
+        if body.len() > FRAME_MAX_BYTES {
+            return Err(frame::FrameError::Length(body.len()));
+        }
+        match postcard::from_bytes(&body)? {
+            Self::Compressed(_) => Err(io::Error::from(io::ErrorKind::InvalidData).into()),
+            update => Ok(update),
+        }
+    }
+}
+
 /// A codec for frames sent by the subscriber.
 pub fn subscriber_codec() -> frame::Codec {
     frame::Codec::new(FRAME_KEY, frame::Side::Dialer)
--- a/src/discovery/publisher.rs
+++ b/src/discovery/publisher.rs
@@ -12,6 +12,7 @@
 use crate::events::Event;
 use crate::forward::metrics;
 use crate::frame;
+use crate::locks;
 use std::net;
 use std::sync;
 use std::time;
@@ -40,11 +41,16 @@
     metrics: sync::Arc<metrics::Metrics>,
     link: Option<pacer::ByteRate>,
 ) {
-    let pacer = sync::Arc::new(pacer::Pacer::new(link));
+    let shared = Shared {
+        view,
+        metrics,
+        pacer: sync::Arc::new(pacer::Pacer::new(link)),
+        encoded: sync::Arc::default(),
+    };
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                tokio::spawn(serve(stream, peer, view.clone(), metrics.clone(), pacer.clone()));
+                tokio::spawn(serve(stream, peer, shared.clone()));
             }
             Err(error) => {
                 event!(warn, Event::AcceptFailed, %error, port = "control");
@@ -54,33 +60,27 @@
     }
 }
 
-async fn serve(
-    stream: TcpStream,
-    peer: net::SocketAddr,
-    view: sync::Arc<view::View>,
-    metrics: sync::Arc<metrics::Metrics>,
-    pacer: sync::Arc<pacer::Pacer>,
-) {
+async fn serve(stream: TcpStream, peer: net::SocketAddr, shared: Shared) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "could not set TCP_NODELAY");
     }
     let (read, write) = stream.into_split();
     let (requests, received) = mpsc::channel(REQUESTS_MAX);
     let reading = tokio::spawn(read_requests(read, requests));
-    let updates = view.subscribe();
+    let updates = shared.view.subscribe();
     let mut session = Session {
-        view,
-        metrics,
+        shared,
         write,
         codec: feed::source_codec(),
-        pacer,
         updates,
         subscriber: None,
         needs_config: false,
         needs_searchers: false,
         members_change: None,
         sent_members: None,
+        urgent: None,
         planned: None,
+        held: None,
         timeouts_told: None,
     };
     if let Err(error) = session.run(received).await {
@@ -92,6 +92,7 @@
     };
     event!(info, Event::SubscriberLost, instance = %subscriber.name, boot = subscriber.boot_ms);
     session
+        .shared
         .view
         .change_members(|members| members.remove_subscriber(&subscriber.name, subscriber.boot_ms));
 }
@@ -130,23 +131,73 @@
     due_at: Instant,
 }
 
+/// What an update is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Subject {
+    Config,
+    Searchers,
+    Members,
+}
+
+/// An encoded update.
+#[derive(Clone)]
+struct Encoded {
+    update: &'static str,
+    subject: Subject,
+    body: sync::Arc<[u8]>,
+}
+
+impl Encoded {
+    fn new(subject: Subject, update: &feed::Update) -> Result<Self, frame::FrameError> {
+        Ok(Self { update: update.into(), subject, body: update.encode()?.into() })
+    }
+}
+
+/// The update that was encoded last: all sessions send the same ones at about the same time.
+#[derive(Default)]
+struct EncodedCache(sync::Mutex<Option<(sync::Arc<feed::Update>, Encoded)>>);
+
+impl EncodedCache {
+    fn encode(
+        &self,
+        subject: Subject,
+        update: &sync::Arc<feed::Update>,
+    ) -> Result<Encoded, frame::FrameError> {
+        let mut last = locks::lock(&self.0);
+        if let Some((known, encoded)) = &*last
+            && sync::Arc::ptr_eq(known, update)
+        {
+            return Ok(encoded.clone());
+        }
+        let encoded = Encoded::new(subject, update)?;
+        *last = Some((update.clone(), encoded.clone()));
+        Ok(encoded)
+    }
+}
+
 /// An encoded update that waits for its slot.
 struct PlannedFrame {
-    update: &'static str,
-    body: Vec<u8>,
+    encoded: Encoded,
     /// Whether the subscriber waits for it; a heartbeat follows that says how recent it is.
     is_requested: bool,
     slot: pacer::Slot,
 }
 
-/// A connection from one subscriber. All updates but heartbeats are paced; while one waits for its slot, further
-/// ones are not encoded yet.
-struct Session {
+/// What all sessions share.
+#[derive(Clone)]
+struct Shared {
     view: sync::Arc<view::View>,
     metrics: sync::Arc<metrics::Metrics>,
+    pacer: sync::Arc<pacer::Pacer>,
+    encoded: sync::Arc<EncodedCache>,
+}
+
+/// A connection from one subscriber. All updates but heartbeats are paced; while one waits for its slot, further
+/// ones are not taken from the queue unless they can be sent ahead of it.
+struct Session {
+    shared: Shared,
     write: tcp::OwnedWriteHalf,
     codec: frame::Codec,
-    pacer: sync::Arc<pacer::Pacer>,
     updates: broadcast::Receiver<sync::Arc<feed::Update>>,
     subscriber: Option<members::Member>,
     /// Whether the subscriber is to be sent the complete configuration.
@@ -156,7 +207,12 @@
     members_change: Option<MembersChange>,
     /// The members that the subscriber knows of; `None` if it was sent none.
     sent_members: Option<sync::Arc<[members::Member]>>,
+    /// A small update that waits for its slot.
+    urgent: Option<PlannedFrame>,
+    /// A large update that waits for its slot.
     planned: Option<PlannedFrame>,
+    /// An update that waits for the planned one to be sent.
+    held: Option<Encoded>,
     /// The number of changes of clients' timeouts when they were last told, and when that was.
     timeouts_told: Option<(u64, u64)>,
 }
@@ -168,12 +224,15 @@
     ) -> Result<(), frame::FrameError> {
         let mut heartbeat = tokio::time::interval(HEARTBEAT_PERIOD);
         heartbeat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut members_changed = self.view.members_epoch();
+        let mut members_changed = self.shared.view.members_epoch();
         loop {
             self.plan_requested()?;
+            let urgent_at = self.urgent.as_ref().map(|planned| planned.slot.send_at(0));
             let planned_at = self.planned.as_ref().map(|planned| planned.slot.send_at(0));
-            let is_free = planned_at.is_none();
-            let members_at = self.members_change.filter(|_| is_free).map(|change| change.due_at);
+            let is_free = urgent_at.is_none() && self.held.is_none();
+            let can_plan_members = is_free && !self.waits(Subject::Members);
+            let members_at =
+                self.members_change.filter(|_| can_plan_members).map(|change| change.due_at);
             tokio::select! {
                 request = requests.recv() => match request {
                     Some(feed::Request::Hello { member, config, searchers }) => {
@@ -181,7 +240,7 @@
                     }
                     Some(feed::Request::SendConfig) => self.needs_config = true,
                     Some(feed::Request::SendSearchers) => self.needs_searchers = true,
-                    Some(feed::Request::ClientTimeouts(timeouts)) => self.view.tell_client_timeouts(&timeouts),
+                    Some(feed::Request::ClientTimeouts(timeouts)) => self.shared.view.tell_client_timeouts(&timeouts),
                     None => return Ok(()),
                 },
                 update = self.updates.recv(), if self.subscriber.is_some() && is_free => match update {
@@ -196,7 +255,14 @@
                     self.tell_client_timeouts().await?;
                 }
                 () = wait_until(members_at) => self.plan_members()?,
-                () = wait_until(planned_at) => self.send_planned().await?,
+                () = wait_until(urgent_at) => {
+                    let urgent = self.urgent.take();
+                    self.send_planned(urgent).await?;
+                }
+                () = wait_until(planned_at) => {
+                    let planned = self.planned.take();
+                    self.send_planned(planned).await?;
+                }
             }
         }
     }
@@ -212,12 +278,12 @@
         if is_new {
             event!(info, Event::SubscriberJoined, instance = %member.name, boot = member.boot_ms);
         }
-        self.view.change_members(|members| members.upsert_subscriber(member));
+        self.shared.view.change_members(|members| members.upsert_subscriber(member));
         if !is_new {
             return Ok(());
         }
-        self.needs_config = config < self.view.config_version();
-        self.needs_searchers = self.is_same_region() && searchers != self.view.digest();
+        self.needs_config = config < self.shared.view.config_version();
+        self.needs_searchers = self.is_same_region() && searchers != self.shared.view.digest();
         let now = Instant::now();
         self.members_change = Some(MembersChange { changed_at: now, due_at: now });
         self.send_heartbeat().await
@@ -225,7 +291,7 @@
 
     /// Whether the subscriber is in this instance's region.
     fn is_same_region(&self) -> bool {
-        let region = self.view.with_members(|members| members.me().region.clone());
+        let region = self.shared.view.with_members(|members| members.me().region.clone());
         self.subscriber.as_ref().is_some_and(|member| member.region == region)
     }
 
@@ -235,8 +301,8 @@
         let Some(change) = self.members_change.take().filter(|_| self.is_same_region()) else {
             return Ok(());
         };
-        self.metrics.record_members_delay(change.changed_at.elapsed().as_secs_f64());
-        let members = self.view.published_members();
+        self.shared.metrics.record_members_delay(change.changed_at.elapsed().as_secs_f64());
+        let members = self.shared.view.published_members();
         let update = match &self.sent_members {
             Some(sent) => {
                 feed::Update::MembersDelta(members::MembersDelta::between(sent, &members))
@@ -244,7 +310,8 @@
             None => feed::Update::Members(members.to_vec()),
         };
         self.sent_members = Some(members);
-        self.plan(&update, false)
+        self.plan(Encoded::new(Subject::Members, &update)?, false);
+        Ok(())
     }
 
     /// Plans the next of the requested updates, unless one is planned already.
@@ -252,15 +319,22 @@
         if self.planned.is_some() {
             return Ok(());
         }
+        if let Some(held) = self.held.take() {
+            self.plan(held, false);
+            return Ok(());
+        }
         if std::mem::take(&mut self.needs_config)
-            && let Some(table) = self.view.table()
+            && let Some(table) = self.shared.view.table()
         {
             let config = config::Config::clone(&table.config);
-            return self.plan(&feed::Update::Config(Box::new(config)), true);
+            let update = feed::Update::Config(Box::new(config));
+            self.plan(Encoded::new(Subject::Config, &update)?, true);
+            return Ok(());
         }
         if std::mem::take(&mut self.needs_searchers) {
-            let (as_of, searchers) = self.view.all_searchers();
-            return self.plan(&feed::Update::AllSearchers { as_of, searchers }, true);
+            let (as_of, searchers) = self.shared.view.all_searchers();
+            let update = feed::Update::AllSearchers { as_of, searchers };
+            self.plan(Encoded::new(Subject::Searchers, &update)?, true);
         }
         Ok(())
     }
@@ -274,7 +348,7 @@
 
     /// Notes a change of the members. They are sent after a delay, since many instances may start at once.
     fn note_members_change(&mut self) {
-        let members = self.view.published_members();
+        let members = self.shared.view.published_members();
         let is_sent =
             self.sent_members.as_ref().is_some_and(|sent| sync::Arc::ptr_eq(sent, &members));
         if is_sent {
@@ -288,48 +362,68 @@
     /// Forwards an update. Searchers and configurations go to subscribers in the same region only: traffic
     /// between regions is expensive, and subscribers elsewhere request what the reader of their own region
     /// has not sent.
-    async fn forward(&mut self, update: &feed::Update) -> Result<(), frame::FrameError> {
-        match update {
-            feed::Update::Searchers(_) if !self.is_same_region() => Ok(()),
-            feed::Update::Config(_) | feed::Update::ConfigDelta(_) if !self.is_same_region() => {
-                self.send_heartbeat().await
+    async fn forward(&mut self, update: &sync::Arc<feed::Update>) -> Result<(), frame::FrameError> {
+        let subject = match **update {
+            feed::Update::Config(_) | feed::Update::ConfigDelta(_) => Subject::Config,
+            _ => Subject::Searchers,
+        };
+        match (subject, self.is_same_region()) {
+            (_, true) => {
+                let encoded = self.shared.encoded.encode(subject, update)?;
+                self.plan(encoded, false);
+                Ok(())
             }
-            _ => self.plan(update, false),
+            (Subject::Config, false) => self.send_heartbeat().await,
+            (_, false) => Ok(()),
         }
     }
 
-    /// Whether updates wait to be sent to the subscriber. Updates that were published for subscribers of this region
-    /// don't count for one in another region.
-    fn is_behind(&self) -> bool {
+    /// Whether an update about `subject` waits to be sent.
+    fn waits(&self, subject: Subject) -> bool {
+        let planned = [&self.urgent, &self.planned];
+        let mut encoded = planned.into_iter().flatten().map(|planned| &planned.encoded);
+        encoded.any(|encoded| encoded.subject == subject)
+            || self.held.as_ref().is_some_and(|held| held.subject == subject)
+    }
+
+    /// Whether the subscriber is about to be sent what is new about `subject`. Updates that were published for
+    /// subscribers of this region don't count for one in another region.
+    fn is_behind(&self, subject: Subject) -> bool {
+        let is_requested = match subject {
+            Subject::Config => self.needs_config,
+            Subject::Searchers => self.needs_searchers,
+            Subject::Members => false,
+        };
         let has_updates = !self.updates.is_empty() && self.is_same_region();
-        has_updates || self.planned.is_some() || self.needs_config || self.needs_searchers
+        has_updates || is_requested || self.waits(subject)
     }
 
-    /// Sends a heartbeat. While updates wait to be sent, it states nothing about the configuration and the
-    /// searchers: the subscriber would request what it is about to get.
+    /// Sends a heartbeat. It states nothing about the configuration or the searchers while updates about them wait to be
+    /// sent: the subscriber would request what it is about to get.
     async fn send_heartbeat(&mut self) -> Result<(), frame::FrameError> {
-        let heartbeat = match self.is_behind() {
-            true => feed::Update::Heartbeat {
-                config: config::ConfigVersion::default(),
-                searchers: registry::Digest::default(),
-                searchers_age_us: None,
-                searchers_as_of: None,
-                config_age_us: None,
-            },
-            false => {
-                let ages = self.view.ages();
-                feed::Update::Heartbeat {
-                    config: self.view.config_version(),
-                    searchers: self.view.digest(),
-                    searchers_age_us: ages.searchers_us,
-                    searchers_as_of: self.view.searchers_as_of(),
-                    config_age_us: ages.config_us,
+        let ages = self.shared.view.ages();
+        let (config, config_age_us) = match self.is_behind(Subject::Config) {
+            true => (config::ConfigVersion::default(), None),
+            false => (self.shared.view.config_version(), ages.config_us),
+        };
+        let (searchers, searchers_age_us, searchers_as_of) =
+            match self.is_behind(Subject::Searchers) {
+                true => (registry::Digest::default(), None, None),
+                false => {
+                    let view = &self.shared.view;
+                    (view.digest(), ages.searchers_us, view.searchers_as_of())
                 }
-            }
+            };
+        let heartbeat = feed::Update::Heartbeat {
+            config,
+            searchers,
+            searchers_age_us,
+            searchers_as_of,
+            config_age_us,
         };
         let mut buffer = Vec::new();
         self.codec.encode(&heartbeat, &mut buffer)?;
-        self.metrics.record_feed_sent((&heartbeat).into(), buffer.len());
+        self.shared.metrics.record_feed_sent((&heartbeat).into(), buffer.len());
         self.write(&buffer).await
     }
 
@@ -339,8 +433,10 @@
         if !self.is_same_region() {
             return Ok(());
         }
-        let due =
-            self.view.client_timeouts_due(self.timeouts_told, client_wait::Estimator::longest);
+        let due = self
+            .shared
+            .view
+            .client_timeouts_due(self.timeouts_told, client_wait::Estimator::longest);
         let Some((timeouts, told)) = due else {
             return Ok(());
         };
@@ -348,26 +444,39 @@
         let update = feed::Update::ClientTimeouts(timeouts);
         let mut buffer = Vec::new();
         self.codec.encode(&update, &mut buffer)?;
-        self.metrics.record_feed_sent((&update).into(), buffer.len());
+        self.shared.metrics.record_feed_sent((&update).into(), buffer.len());
         self.write(&buffer).await
     }
 
-    /// Encodes an update and reserves a slot for it.
-    fn plan(&mut self, update: &feed::Update, is_requested: bool) -> Result<(), frame::FrameError> {
-        let body = postcard::to_stdvec(update)?;
-        let slot = self.pacer.reserve(body.len());
-        self.planned = Some(PlannedFrame { update: update.into(), body, is_requested, slot });
-        Ok(())
+    /// Reserves a slot for an update, or holds it back until the planned one is sent. An update must not overtake a larger
+    /// one about the same subject.
+    fn plan(&mut self, encoded: Encoded, is_requested: bool) {
+        let is_urgent = pacer::Pacer::is_urgent(encoded.body.len())
+            && self.urgent.is_none()
+            && !self.waits(encoded.subject);
+        if !is_urgent && self.planned.is_some() {
+            self.held = Some(encoded);
+            return;
+        }
+        let slot = self.shared.pacer.reserve(encoded.body.len(), is_urgent);
+        let planned = Some(PlannedFrame { encoded, is_requested, slot });
+        match is_urgent {
+            true => self.urgent = planned,
+            false => self.planned = planned,
+        }
     }
 
-    /// Sends the planned update at the rate of its slot.
-    async fn send_planned(&mut self) -> Result<(), frame::FrameError> {
-        let Some(planned) = self.planned.take() else {
+    /// Sends a planned update at the rate of its slot.
+    async fn send_planned(
+        &mut self,
+        planned: Option<PlannedFrame>,
+    ) -> Result<(), frame::FrameError> {
+        let Some(planned) = planned else {
             return Ok(());
         };
         let mut buffer = Vec::new();
-        self.codec.encode_body(&planned.body, &mut buffer)?;
-        self.metrics.record_feed_sent(planned.update, buffer.len());
+        self.codec.encode_body(&planned.encoded.body, &mut buffer)?;
+        self.shared.metrics.record_feed_sent(planned.encoded.update, buffer.len());
         for (index, chunk) in buffer.chunks(frame::PART_BYTES).enumerate() {
             tokio::time::sleep_until(planned.slot.send_at(index * frame::PART_BYTES)).await;
             self.write(chunk).await?;
--- a/src/discovery/subscriber.rs
+++ b/src/discovery/subscriber.rs
@@ -198,6 +198,7 @@
                 let payload =
                     frame::read_parts(&mut read, feed::FRAME_MAX_BYTES, SOURCE_TIMEOUT).await;
                 let update = payload.and_then(|payload| codec.decode::<feed::Update>(&payload));
+                let update = update.and_then(feed::Update::decompress);
                 let result = update.map_err(ConnectionEnd::from);
                 let is_over = result.is_err();
                 if updates.send(result).await.is_err() || is_over {
@@ -290,6 +291,8 @@
                     None => return vec![feed::Request::SendConfig],
                 }
             }
+            // Received updates are decompressed already.
+            feed::Update::Compressed(_) => {}
             feed::Update::Heartbeat {
                 config,
                 searchers,
--- a/tests/discovery_publisher.rs
+++ b/tests/discovery_publisher.rs
@@ -61,7 +61,7 @@
     tokio::spawn(async move {
         let mut codec = feed::source_codec();
         while let Ok(payload) = frame::read(&mut read, feed::FRAME_MAX_BYTES).await {
-            let update = codec.decode::<feed::Update>(&payload).unwrap();
+            let update = codec.decode::<feed::Update>(&payload).unwrap().decompress().unwrap();
             if updates.send(update).is_err() {
                 return;
             }
@@ -70,7 +70,8 @@
     received
 }
 
-/// Waits for a member list without `name`. Returns whether it arrived before `timeout`.
+/// Waits for a member list without `name`, or a change of the list that removes it. Returns whether it arrived before
+/// `timeout`.
 async fn is_removed(
     updates: &mut mpsc::UnboundedReceiver<feed::Update>,
     name: &str,
@@ -78,10 +79,16 @@
 ) -> bool {
     let removed = async {
         while let Some(update) = updates.recv().await {
-            let feed::Update::Members(members) = update else {
-                continue;
+            let is_removed = match update {
+                feed::Update::Members(members) => {
+                    members.iter().all(|member| member.name.as_str() != name)
+                }
+                feed::Update::MembersDelta(delta) => {
+                    delta.gone.iter().any(|gone| gone.as_str() == name)
+                }
+                _ => continue,
             };
-            if members.iter().all(|member| member.name.as_str() != name) {
+            if is_removed {
                 return true;
             }
         }
