Read the newest state after a failed watch

Cause: a watch that failed was repeated from the same revision. After an outage and a storm of large configurations its answer has more than the 4 MiB that an answer may have, and grows with each configuration; only the store's 410, 20 s later, ended that.

Change: after any failure the reader asks for the newest state. Too large an answer is an error of its own. The same for the watch of the searchers, and for answers that don't arrive in time over a slow link.

--- a/src/discovery/reader.rs
+++ b/src/discovery/reader.rs
@@ -223,10 +223,12 @@
                     self.view.mark_config_verified(if is_first { age_us } else { 0 });
                     self.stand_in_after_answer(view_age_us);
                 }
-                Err(store_client::StoreError::HistoryLost) => after = None,
+                Err(store_client::StoreError::HistoryLost) if after.is_some() => after = None,
                 Err(error) => {
                     self.record_failure(&error, Call::Config);
                     backoff = self.back_off(backoff).await;
+                    // What is new since then grows until the answer can't be read in time; the newest state does not.
+                    after = None;
                 }
             }
         }
@@ -266,10 +268,11 @@
                     self.stand_in_after_answer(view_age_us);
                     tokio::time::sleep(self.searchers_period).await;
                 }
-                Err(store_client::StoreError::HistoryLost) => after = None,
+                Err(store_client::StoreError::HistoryLost) if after.is_some() => after = None,
                 Err(error) => {
                     self.record_failure(&error, Call::Searchers);
                     backoff = self.back_off(backoff).await;
+                    after = None;
                 }
             }
         }
--- a/src/discovery/store_client.rs
+++ b/src/discovery/store_client.rs
@@ -13,6 +13,9 @@
     /// The store refused the call with this HTTP status.
     #[error("the store refused the call with status {0}")]
     Refused(u16),
+    /// The answer is too large to be read.
+    #[error("the answer has more than {0} bytes")]
+    TooLong(usize),
     /// The store could not be reached or did not answer in time.
     #[error("no answer from the store: {0}")]
     Unreachable(String),
