Name the hubs to instances that know only another seed

An instance whose only seed is no hub lists 7 or fewer of 8 instances in its directory for ever.

Cause: lists of members name who is connected to their sender, and instances connect to hubs only.

Change: an instance that is no hub adds the hubs that it is connected to, as these report themselves. An instance's own report on its own connection goes before what others say of it.

--- a/src/discovery/members.rs
+++ b/src/discovery/members.rs
@@ -97,6 +97,13 @@
     expires_us: Option<u64>,
 }
 
+impl SourceMembers {
+    /// What the source reported about itself.
+    fn own_report(&self) -> Option<&Member> {
+        self.members.iter().find(|member| member.control == self.source)
+    }
+}
+
 /// How long the members reported by a lost source stay live; they connect to another source meanwhile.
 const LOST_SOURCE_KEEP_US: u64 = 2_000_000;
 /// How long an instance that stopped responding ranks last as a reader: as long as a machine usually freezes.
@@ -152,11 +159,20 @@
         self.subscribers.len() != before
     }
 
-    /// This instance and those connected to it, sorted by name: the list it publishes to subscribers.
+    /// This instance and those connected to it, sorted by name: the list it publishes to subscribers. An instance that is
+    /// no hub adds the hubs that it is connected to, since an instance that starts may have no other seed. Hubs that it
+    /// knows by hearsay are left out: two instances could keep telling each other of one that is gone.
     pub fn connected_members(&self) -> Vec<Member> {
         let mut members = self.subscribers.clone();
         members.push(self.me.clone());
-        members.sort_by(|a, b| a.name.cmp(&b.name));
+        let hubs = self.hubs();
+        if hubs.iter().all(|hub| hub.name != self.me.name) {
+            let connected = self.sources.iter().filter(|known| known.expires_us.is_none());
+            let reports = connected.filter_map(SourceMembers::own_report);
+            members.extend(reports.filter(|report| hubs.contains(report)).cloned());
+        }
+        members.sort_by(|a, b| a.name.cmp(&b.name).then(b.boot_ms.cmp(&a.boot_ms)));
+        members.dedup_by(|a, b| a.name == b.name);
         members
     }
 
@@ -233,12 +249,13 @@
     pub fn live(&self) -> Vec<&Member> {
         let mut members: Vec<&Member> = vec![&self.me];
         members.extend(&self.subscribers);
+        members.extend(self.sources.iter().filter_map(SourceMembers::own_report));
         for known in &self.sources {
             members.extend(&known.members);
         }
-        // For each name the latest boot comes first, and within it what this instance or a subscriber reported about
-        // itself: the sort is stable, and these were added first. Among the members reported by sources, those of
-        // the source that was added first come first.
+        // For each name the latest boot comes first, and within it what the instance reported about itself on its own
+        // connection: the sort is stable, and these were added first. Among the other members reported by sources, those
+        // of the source that was added first come first.
         members.sort_by(|a, b| a.name.cmp(&b.name).then(b.boot_ms.cmp(&a.boot_ms)));
         members.dedup_by(|a, b| a.name == b.name);
         members
--- a/tests/forward_members.rs
+++ b/tests/forward_members.rs
@@ -102,6 +102,31 @@
     }
 }
 
+/// Guards against an instance that never finds the others because its only seed is no hub, and against two instances that
+/// keep telling each other of a hub that is gone.
+#[test]
+fn an_instance_that_is_no_hub_names_the_hubs_that_it_is_connected_to() {
+    let fleet = fleet(30);
+    let hub_names = names(&view(&fleet, 0).hubs());
+    let is_hub = |member: &members::Member| hub_names.contains(&member.name.to_string());
+    let other = fleet.iter().position(|member| !is_hub(member)).unwrap();
+    let hubs: Vec<&members::Member> = fleet.iter().filter(|member| is_hub(member)).collect();
+    let mut view = members::Members::new(fleet[other].clone());
+    view.set_source_members(hubs[0].control, fleet.clone());
+    let listed = |view: &members::Members| {
+        let listed = view.connected_members();
+        names(&listed.iter().collect::<Vec<&members::Member>>())
+    };
+    let mut expected = names(&[&fleet[other], hubs[0]]);
+    expected.sort();
+    assert_eq!(listed(&view), expected, "it heard of the other hubs, but is not connected to them");
+    view.mark_source_lost(0, hubs[0].control, false);
+    assert_eq!(listed(&view), names(&[&fleet[other]]));
+    let mut view = members::Members::new(hubs[0].clone());
+    view.set_source_members(hubs[1].control, fleet.clone());
+    assert_eq!(listed(&view), names(&[hubs[0]]), "a hub names those that are connected to it");
+}
+
 #[test]
 fn the_next_instances_of_a_region_stand_in_for_its_readers() {
     let mut fleet = fleet(30);
