Stand in for readers by the age of what they know

Cause: an instance took its own old view for readers that can't reach the store. At 295 instances a view is old whenever the hub sends slowly. Up to 11 instances a second stood in, each change went to all members, and all instances fetched at once.

Change: heartbeats always tell the age of what the source knows, also while updates wait. Instances stand in when that is old. Only hubs fetch from a source of another region without a delay.

--- a/src/discovery/feed.rs
+++ b/src/discovery/feed.rs
@@ -86,6 +86,9 @@
         searchers_as_of: Option<(registry::StoreRevision, u64)>,
         /// How long ago the source's configuration was known to be the newest; `None` if it never was.
         config_age_us: Option<u64>,
+        /// How long ago the source last knew both, also while updates about them wait to be sent; `None` if it never
+        /// did.
+        read_age_us: Option<u64>,
     },
 }
 
--- a/src/discovery/members.rs
+++ b/src/discovery/members.rs
@@ -275,6 +275,11 @@
         first_of_each_region(&self.ranked(|member| !member.reaches_store))
     }
 
+    /// Whether this instance is one of [`Members::hubs`].
+    pub fn is_hub(&self) -> bool {
+        self.hubs().iter().any(|hub| hub.name == self.me.name)
+    }
+
     /// Whether this instance is one of [`Members::readers`].
     pub fn is_reader(&self) -> bool {
         self.readers().iter().any(|reader| reader.name == self.me.name)
--- a/src/discovery/publisher.rs
+++ b/src/discovery/publisher.rs
@@ -420,6 +420,7 @@
             searchers_age_us,
             searchers_as_of,
             config_age_us,
+            read_age_us: ages.searchers_us.zip(ages.config_us).map(|(a, b)| a.max(b)),
         };
         let mut buffer = Vec::new();
         self.codec.encode(&heartbeat, &mut buffer)?;
--- a/src/discovery/reader.rs
+++ b/src/discovery/reader.rs
@@ -165,7 +165,9 @@
         }
         let (is_reader, stand_in_rank) =
             self.view.with_members(|members| (members.is_reader(), members.stand_in_rank()));
-        if is_reader || locks::lock(&self.stand_in).should_read(now_us, stand_in_rank, age_us) {
+        let read_age_us = self.view.read_age_us().unwrap_or(u64::MAX);
+        if is_reader || locks::lock(&self.stand_in).should_read(now_us, stand_in_rank, read_age_us)
+        {
             return true;
         }
         if age_us < self.turns_after_us {
@@ -211,7 +213,7 @@
             match result {
                 Ok(read) => {
                     backoff = BACKOFF_MIN;
-                    let view_age_us = self.view.ages().config_us;
+                    let read_age_us = self.view.read_age_us();
                     self.record_answer(Call::Config);
                     let age_us = clock::now_us() - started_us;
                     let is_first = after.is_none();
@@ -221,7 +223,7 @@
                     }
                     // A watch that returns without a change confirms the state at its end.
                     self.view.mark_config_verified(if is_first { age_us } else { 0 });
-                    self.stand_in_after_answer(view_age_us);
+                    self.stand_in_after_answer(read_age_us);
                 }
                 Err(store_client::StoreError::HistoryLost) if after.is_some() => after = None,
                 Err(error) => {
@@ -251,6 +253,7 @@
                 Ok(read) => {
                     backoff = BACKOFF_MIN;
                     let view_age_us = self.view.ages().searchers_us;
+                    let read_age_us = self.view.read_age_us();
                     let failing_us = self.record_answer(Call::Searchers);
                     after = Some(read.as_of);
                     let now_us = clock::now_us();
@@ -265,7 +268,7 @@
                     self.view.apply_searchers(changes, now_us - started_us);
                     self.view.set_searchers_as_of(read.as_of, 0);
                     self.view.mark_searchers_verified(now_us - started_us);
-                    self.stand_in_after_answer(view_age_us);
+                    self.stand_in_after_answer(read_age_us);
                     tokio::time::sleep(self.searchers_period).await;
                 }
                 Err(store_client::StoreError::HistoryLost) if after.is_some() => after = None,
@@ -309,16 +312,16 @@
         !rules_out
     }
 
-    /// Stands in for the readers if the answer came to a view of this age that was stale.
-    fn stand_in_after_answer(&self, view_age_us: Option<u64>) {
-        let Some(view_age_us) = view_age_us else {
+    /// Stands in for the readers if what they knew was stale before the answer, as of this age.
+    fn stand_in_after_answer(&self, read_age_us: Option<u64>) {
+        let Some(read_age_us) = read_age_us else {
             return;
         };
         if self.view.with_members(|members| members.is_reader()) {
             return;
         }
-        if locks::lock(&self.stand_in).record_answer(clock::now_us(), view_age_us) {
-            event!(info, Event::StandIn, age_ms = view_age_us / 1_000);
+        if locks::lock(&self.stand_in).record_answer(clock::now_us(), read_age_us) {
+            event!(info, Event::StandIn, age_ms = read_age_us / 1_000);
             self.publish_store_access();
         }
     }
--- a/src/discovery/stand_in.rs
+++ b/src/discovery/stand_in.rs
@@ -18,7 +18,7 @@
 /// Whether this instance stands in for the readers.
 #[derive(Clone, Copy, Debug)]
 pub struct StandIn {
-    /// A view of this age is older than any that the readers keep up to date.
+    /// Readers that reach the store know what is younger than this.
     stale_after_us: u64,
     until_us: u64,
     retry_at_us: u64,
@@ -31,7 +31,7 @@
     }
 
     /// Whether the instance reads the store now. `rank` is its position among those that may stand in, `None` if it may
-    /// not; `age_us` is the age of its view.
+    /// not; `age_us` is the age of what the readers know.
     pub fn should_read(&self, now_us: u64, rank: Option<usize>, age_us: u64) -> bool {
         if self.is_active(now_us) {
             return true;
@@ -47,7 +47,7 @@
         now_us < self.until_us
     }
 
-    /// Records that the store answered; before, the view had this age. Returns whether the instance begins to stand in.
+    /// Records that the store answered; before, what the readers knew had this age. Returns whether the instance begins to stand in.
     pub fn record_answer(&mut self, now_us: u64, age_us: u64) -> bool {
         if age_us < self.stale_after_us {
             return false;
--- a/src/discovery/subscriber.rs
+++ b/src/discovery/subscriber.rs
@@ -299,7 +299,11 @@
                 searchers_age_us,
                 searchers_as_of,
                 config_age_us,
+                read_age_us,
             } => {
+                if let Some(age_us) = read_age_us {
+                    self.view.mark_read_by_source(age_us);
+                }
                 let mut requests = Vec::new();
                 if self.apply_searchers_heartbeat(searchers, searchers_age_us) {
                     requests.push(feed::Request::SendSearchers);
@@ -354,16 +358,17 @@
     }
 
     /// The delay from when this instance learns that the source has other state until it requests that state. There is
-    /// none if its own state, of this age, is stale.
+    /// none for a hub whose own state, of this age, is stale: the source stands in for the readers.
     fn first_fetch_delay_us(&self, own_age_us: Option<u64>) -> u64 {
-        if own_age_us.is_some_and(|age_us| age_us >= self.timing.stale_after_us) {
-            return 0;
-        }
-        let is_other_region = self.view.with_members(|members| {
+        let (is_hub, is_other_region) = self.view.with_members(|members| {
             let live = members.live();
             let source = live.iter().find(|member| member.control == self.address);
-            source.is_some_and(|source| source.region != members.me().region)
+            let is_other = source.is_some_and(|source| source.region != members.me().region);
+            (members.is_hub(), is_other)
         });
+        if is_hub && own_age_us.is_some_and(|age_us| age_us >= self.timing.stale_after_us) {
+            return 0;
+        }
         if is_other_region {
             self.timing.other_region_delay_us.max(FETCH_DELAY_MIN_US)
         } else {
--- a/src/discovery/view.rs
+++ b/src/discovery/view.rs
@@ -41,6 +41,8 @@
     /// When that was the store's revision; `None` if that is not known.
     searchers_as_of_us: Option<u64>,
     config_verified_us: Option<u64>,
+    /// When a source last knew both the configuration and the searchers, whether or not it has sent them yet.
+    read_by_source_us: Option<u64>,
     /// The newest version that another instance has, as far as it is known.
     newest_config: config::ConfigVersion,
 }
@@ -71,6 +73,7 @@
                 searchers_as_of: registry::StoreRevision::default(),
                 searchers_as_of_us: None,
                 config_verified_us: None,
+                read_by_source_us: None,
                 newest_config: config::ConfigVersion::default(),
             }),
             client_wait: sync::Mutex::default(),
@@ -240,6 +243,22 @@
         inner.searchers_verified_us = inner.searchers_verified_us.max(Some(at_us));
     }
 
+    /// Records that a source knew the configuration and the searchers `age_us` ago.
+    pub fn mark_read_by_source(&self, age_us: u64) {
+        let at_us = clock::now_us().saturating_sub(age_us);
+        let mut inner = locks::lock(&self.inner);
+        inner.read_by_source_us = inner.read_by_source_us.max(Some(at_us));
+    }
+
+    /// How long ago this instance or one of its sources last knew the configuration and the searchers from the store; `None`
+    /// if none ever did. An old age means that the readers can't reach the store, not that updates are slow.
+    pub fn read_age_us(&self) -> Option<u64> {
+        let inner = locks::lock(&self.inner);
+        let own_us = inner.searchers_verified_us.min(inner.config_verified_us);
+        let at_us = own_us.max(inner.read_by_source_us)?;
+        Some(clock::now_us().saturating_sub(at_us))
+    }
+
     /// The ages of the searchers and of the configuration.
     pub fn ages(&self) -> Ages {
         let now_us = clock::now_us();
