Tests: one subscriber for the tests of updates

The tests of what subscribers receive and of hundreds of instances had a copy each of the code that connects and decodes. It moved to the tests' support, unchanged.

--- a/tests/discovery_publisher.rs
+++ b/tests/discovery_publisher.rs
@@ -5,19 +5,16 @@
 use forward_support::configuration;
 use forward_support::member;
 use forward_support::route;
+use forward_support::subscriber::subscribe;
 use std::net;
 use std::sync;
 use std::time;
-use tarragondoor::discovery::config;
 use tarragondoor::discovery::feed;
-use tarragondoor::discovery::members;
 use tarragondoor::discovery::publisher;
-use tarragondoor::discovery::registry;
 use tarragondoor::discovery::view;
 use tarragondoor::forward::metrics;
 use tarragondoor::frame;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
 /// Starts a source in the region `north`. Returns its address and its view.
@@ -34,42 +31,6 @@
     (address, view)
 }
 
-/// Connects as `member` and returns the updates that the source sends, until the receiver is dropped.
-async fn subscribe(
-    source: net::SocketAddr,
-    member: members::Member,
-) -> mpsc::UnboundedReceiver<feed::Update> {
-    let (mut read, mut write) = TcpStream::connect(source).await.unwrap().into_split();
-    let (updates, received) = mpsc::unbounded_channel();
-    let hello = feed::Request::Hello {
-        member,
-        config: config::ConfigVersion(1),
-        searchers: registry::Digest::default(),
-    };
-    tokio::spawn(async move {
-        let mut codec = feed::subscriber_codec();
-        let mut hello_timer = tokio::time::interval(time::Duration::from_secs(1));
-        loop {
-            hello_timer.tick().await;
-            let mut buffer = Vec::new();
-            codec.encode(&hello, &mut buffer).unwrap();
-            if frame::write(&mut write, &buffer).await.is_err() {
-                return;
-            }
-        }
-    });
-    tokio::spawn(async move {
-        let mut codec = feed::source_codec();
-        while let Ok(payload) = frame::read(&mut read, feed::FRAME_MAX_BYTES).await {
-            let update = codec.decode::<feed::Update>(&payload).unwrap().decompress().unwrap();
-            if updates.send(update).is_err() {
-                return;
-            }
-        }
-    });
-    received
-}
-
 /// Waits for a member list without `name`, or a change of the list that removes it. Returns whether it arrived before
 /// `timeout`.
 async fn is_removed(
--- a/tests/discovery_scale.rs
+++ b/tests/discovery_scale.rs
@@ -7,6 +7,7 @@
 use forward_support::record;
 use forward_support::route;
 use forward_support::searcher;
+use forward_support::subscriber::subscribe;
 use std::net;
 use std::sync;
 use std::time;
@@ -18,9 +19,7 @@
 use tarragondoor::discovery::registry;
 use tarragondoor::discovery::view;
 use tarragondoor::forward::metrics;
-use tarragondoor::frame;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task;
 
@@ -50,27 +49,8 @@
     member: members::Member,
     received: mpsc::UnboundedSender<(Received, time::Instant)>,
 ) {
-    let (mut read, mut write) = TcpStream::connect(source).await.unwrap().into_split();
-    let hello = feed::Request::Hello {
-        member,
-        config: config::ConfigVersion(1),
-        searchers: registry::Digest::default(),
-    };
-    tokio::spawn(async move {
-        let mut codec = feed::subscriber_codec();
-        let mut timer = tokio::time::interval(time::Duration::from_secs(1));
-        loop {
-            timer.tick().await;
-            let mut buffer = Vec::new();
-            codec.encode(&hello, &mut buffer).unwrap();
-            if frame::write(&mut write, &buffer).await.is_err() {
-                return;
-            }
-        }
-    });
-    let mut codec = feed::source_codec();
-    while let Ok(payload) = frame::read(&mut read, feed::FRAME_MAX_BYTES).await {
-        let update = codec.decode::<feed::Update>(&payload).unwrap().decompress().unwrap();
+    let mut updates = subscribe(source, member).await;
+    while let Some(update) = updates.recv().await {
         let now = time::Instant::now();
         let report = |event| received.send((event, now)).is_ok();
         match update {
--- a/tests/forward_support/mod.rs
+++ b/tests/forward_support/mod.rs
@@ -1,6 +1,8 @@
 //! Builders for the inputs of forwarding decisions.
 #![allow(dead_code)]
 
+pub mod subscriber;
+
 use compact_str::CompactString;
 use http::StatusCode;
 use tarragondoor::discovery::config;
