Choose a searcher again that only reset a new connection

A part whose new connection was reset counted the searcher as tried, although nothing was sent, and was refused when there was no other. It may now wait for one of the searcher's open connections, for three resets at most.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -244,7 +244,7 @@
             endpoint.record_reset(clock::now_us());
             let report = balancer::Report::ConnectionReset;
             let detail = "the searcher reset the new connection";
-            return Err(SendResult::new(query::Outcome::NotSent, report, detail));
+            return Err(SendResult::new(query::Outcome::ConnectionReset, report, detail));
         }
     }
     let may_be_reset_until_us = connected_us + reset_time.as_micros() as u64;
--- a/src/forward/query.rs
+++ b/src/forward/query.rs
@@ -36,6 +36,8 @@
 const WAIT_DIVISOR: u64 = 4;
 /// The interval at which a part that waits for a busy searcher is retried.
 const WAIT_POLL_US: u64 = 4_000;
+/// After this many sends of a part whose connection was reset, the searcher counts as tried.
+const RESETS_MAX: u32 = 3;
 /// How many rejected sends a part may have beyond its attempts.
 const REJECTIONS_MAX: u32 = 2;
 
@@ -90,6 +92,8 @@
     NotRun,
     /// Nothing was sent.
     NotSent,
+    /// Nothing was sent: the searcher accepts no more connections, but serves requests on those that are open.
+    ConnectionReset,
     /// No complete answer arrived; the request may have run.
     Lost,
 }
@@ -191,6 +195,8 @@
     /// The number of sends that may have run, those in flight included.
     possibly_run: u32,
     rejected: u32,
+    /// The number of sends whose new connection the searcher reset.
+    reset: u32,
     hedge_at_us: Option<u64>,
     answer: Option<Answer>,
     /// The latest error response; becomes the result if no success follows.
@@ -353,6 +359,16 @@
                 part.possibly_run -= 1;
                 is_unsent = true;
             }
+            Outcome::ConnectionReset => {
+                part.possibly_run -= 1;
+                is_unsent = true;
+                part.reset += 1;
+                if part.reset <= RESETS_MAX {
+                    // The part may wait for one of the searcher's open connections.
+                    let searcher = &self.sends[number].endpoint.id;
+                    part.tried.retain(|tried| tried != searcher);
+                }
+            }
         }
         if part.answer.is_some() || part.in_flight > 0 {
             return Vec::new();
@@ -566,6 +582,7 @@
         Outcome::Answered(_) => "error_answer",
         Outcome::NotRun => "rejected",
         Outcome::NotSent => "not_sent",
+        Outcome::ConnectionReset => "connection_reset",
         Outcome::Lost => "lost",
     }
 }
--- a/tests/forward_query.rs
+++ b/tests/forward_query.rs
@@ -182,6 +182,21 @@
     assert_eq!(session.completion(), "gathered 1 of 1");
 }
 
+/// A searcher that accepts no more connections still serves requests on the open ones. When it counted as tried, requests
+/// were refused that could have waited for one of them.
+#[test]
+fn a_searcher_that_reset_a_new_connection_may_be_chosen_again() {
+    let mut session = Session::start(gather(&["a"], 1));
+    for number in 0..4 {
+        session.end_send(number, query::Outcome::ConnectionReset);
+    }
+    assert_eq!((session.sends.len(), session.completion().as_str()), (5, "open"));
+    for number in 4..6 {
+        session.end_send(number, query::Outcome::ConnectionReset);
+    }
+    assert_eq!(session.completion(), "not run", "it does not go on without end");
+}
+
 #[test]
 fn a_query_has_not_run_when_no_searcher_was_reachable() {
     let mut session = Session::start(gather(&["a"], 1));
