Order what the store says by era, then revision

A store that is restored from an older copy issues revisions again. By number alone its news counted as old, and a watch could go on behind the reissued revision and miss changes. Revisions are now pairs of era and number; a watch in another era starts over; after a restore, searchers that the copy lacks are held as after an outage, and those that it lists although they left are ignored until they renew their entry.

--- a/src/discovery/reader.rs
+++ b/src/discovery/reader.rs
@@ -262,7 +262,13 @@
                     let now_us = clock::now_us();
                     let may_have_lapsed = self.may_have_lapsed(&read);
                     let changes = {
+                        let is_restored = self.view.with_registry(|registry| {
+                            read.changes.iter().any(|change| registry.is_removal_by_restore(change))
+                        });
                         let mut hold = locks::lock(&self.removal_hold);
+                        if is_restored {
+                            hold.record_restore(now_us, read.as_of.era);
+                        }
                         if may_have_lapsed {
                             hold.record_answer(now_us, view_age_us, failing_us);
                         }
@@ -288,9 +294,16 @@
     async fn read_all(&self) -> Result<store_client::SearchersRead, store_client::StoreError> {
         let mut read = self.store.read_searchers().await?;
         read.changes.sort_by(|a, b| a.id.cmp(&b.id));
-        let removals = self
-            .view
-            .with_registry(|registry| registry.removals_missing_in(&read.changes, read.as_of));
+        let before = read.changes.len();
+        let removals = self.view.with_registry(|registry| {
+            let removals = registry.removals_missing_in(&read.changes, read.as_of);
+            read.changes.retain(|change| !registry.is_superseded(change));
+            removals
+        });
+        let superseded_count = before - read.changes.len();
+        if superseded_count > 0 {
+            event!(info, Event::StoreRestored, era = read.as_of.era.0, ignored = superseded_count);
+        }
         read.changes.extend(removals);
         Ok(read)
     }
@@ -302,10 +315,13 @@
         else {
             return true;
         };
+        if read.as_of.era != as_of.era {
+            return true;
+        }
         let removals = read.changes.iter().filter(|change| change.searcher.is_none());
         let progress = registry::StoreProgress {
             elapsed_us,
-            revision_count: read.as_of.0.saturating_sub(as_of.0),
+            revision_count: read.as_of.number.saturating_sub(as_of.number),
             removal_count: removals.count(),
             searcher_count: self.view.with_registry(|registry| registry.live_count()),
             renewal_period_us: period.as_micros() as u64,
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -11,20 +11,20 @@
 use std::net;
 use xxhash_rust::xxh3;
 
-/// A revision of the platform's store.
+/// How many times the platform's store has been restored from an older copy.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[serde(transparent)]
-pub struct StoreRevision(pub u64);
+pub struct StoreEra(pub u64);
 
-impl std::fmt::Display for StoreRevision {
+impl std::fmt::Display for StoreEra {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         self.0.fmt(f)
     }
 }
 
-impl std::str::FromStr for StoreRevision {
+impl std::str::FromStr for StoreEra {
     type Err = std::num::ParseIntError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
@@ -32,6 +32,47 @@
     }
 }
 
+/// A revision of the platform's store. A restored store issues numbers again that it had issued before, so revisions
+/// are ordered by era first.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct StoreRevision {
+    /// The era in which the number was issued.
+    pub era: StoreEra,
+    /// The number.
+    pub number: u64,
+}
+
+impl StoreRevision {
+    /// Creates a revision.
+    pub fn new(era: StoreEra, number: u64) -> Self {
+        Self { era, number }
+    }
+}
+
+impl std::fmt::Display for StoreRevision {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}:{}", self.era, self.number)
+    }
+}
+
+/// Why a text is not a [`StoreRevision`].
+#[derive(Debug, thiserror::Error)]
+#[error("expected ERA:NUMBER, found {0:?}")]
+pub struct StoreRevisionError(CompactString);
+
+impl std::str::FromStr for StoreRevision {
+    type Err = StoreRevisionError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = || StoreRevisionError(text.into());
+        let (era, number) = text.split_once(':').ok_or_else(error)?;
+        let era = era.parse().map_err(|_| error())?;
+        Ok(Self { era, number: number.parse().map_err(|_| error())? })
+    }
+}
+
 /// Whether a searcher accepts new requests.
 #[derive(
     Clone,
@@ -140,6 +181,36 @@
         removals
     }
 
+    /// Whether `change`, from a complete read of the store, is older than what was known before the store was restored:
+    /// it lists a searcher as ready that was draining or gone, or an earlier process of one that has restarted. A searcher
+    /// that is alive renews its entry, which is seen as a change after the read.
+    pub fn is_superseded(&self, change: &SearcherChange) -> bool {
+        let Some(record) = self.get(&change.id) else {
+            return false;
+        };
+        let Some(new) = change.searcher.as_ref() else {
+            return false;
+        };
+        if record.revision.era >= change.revision.era {
+            return false;
+        }
+        match &record.searcher {
+            None => new.state == SearcherState::Ready,
+            Some(known) if known.boot_ms == new.boot_ms => {
+                known.state == SearcherState::Draining && new.state == SearcherState::Ready
+            }
+            Some(known) => new.boot_ms < known.boot_ms,
+        }
+    }
+
+    /// Whether `change` removes a searcher that was last seen in an earlier era of the store: the restored copy may lack
+    /// it although it is alive.
+    pub fn is_removal_by_restore(&self, change: &SearcherChange) -> bool {
+        let known = self.get(&change.id).filter(|record| record.searcher.is_some());
+        change.searcher.is_none()
+            && known.is_some_and(|record| record.revision.era < change.revision.era)
+    }
+
     /// The record of a searcher id.
     pub fn get(&self, id: &str) -> Option<&SearcherChange> {
         let at = self.records.binary_search_by(|record| record.id.as_str().cmp(id)).ok()?;
@@ -215,12 +286,14 @@
     outage_age_us: u64,
     held: Vec<SearcherChange>,
     until_us: Option<u64>,
+    /// The last era whose start began a hold.
+    restored_era: StoreEra,
 }
 
 impl RemovalHold {
     /// Creates an inactive hold. A view of at least `outage_age_us` indicates an outage.
     pub fn new(outage_age_us: u64) -> Self {
-        Self { outage_age_us, held: Vec::new(), until_us: None }
+        Self { outage_age_us, held: Vec::new(), until_us: None, restored_era: StoreEra::default() }
     }
 
     /// Records that the store has answered. `view_age_us` is the age of the view before the answer,
@@ -233,6 +306,16 @@
         }
     }
 
+    /// Records that the store lacks searchers since it was restored to begin `era`. They have had an outage's time to
+    /// register again, counted from the first such read.
+    pub fn record_restore(&mut self, now_us: u64, era: StoreEra) {
+        if self.restored_era >= era {
+            return;
+        }
+        self.restored_era = era;
+        self.until_us = Some(now_us + REMOVAL_HOLD_US);
+    }
+
     /// Returns the changes to apply now: `changes` without the removals to hold back or, once the hold is
     /// over, the held removals followed by `changes`.
     pub fn filter(&mut self, now_us: u64, changes: Vec<SearcherChange>) -> Vec<SearcherChange> {
--- a/src/discovery/view.rs
+++ b/src/discovery/view.rs
@@ -230,7 +230,8 @@
                 Event::SearcherChanged,
                 searcher = %change.id,
                 state = state.map_or_else(|| "gone".to_owned(), |state| state.to_string()),
-                revision = change.revision.0,
+                era = change.revision.era.0,
+                revision = change.revision.number,
                 age_ms = age_us / 1_000
             );
         }
--- a/src/events.rs
+++ b/src/events.rs
@@ -60,6 +60,8 @@
     ActiveChanged = 408,
     /// The instance reads the store in place of the readers, whose state became old.
     StandIn = 409,
+    /// The store was restored from an older copy, and some of its entries are older than what is known.
+    StoreRestored = 410,
     /// A connection could not be accepted.
     AcceptFailed = 500,
     /// A request was answered completely and in time.
--- a/tests/discovery_scale.rs
+++ b/tests/discovery_scale.rs
@@ -119,7 +119,7 @@
     view.offer_config(configuration(2, routes.collect()), 0);
     let leaving = registry::SearcherChange {
         id: "i-leaving".into(),
-        revision: registry::StoreRevision(2),
+        revision: registry::StoreRevision::new(registry::StoreEra(0), 2),
         searcher: None,
     };
     view.apply_searchers(vec![leaving], 0);
--- a/tests/forward_registry.rs
+++ b/tests/forward_registry.rs
@@ -11,7 +11,7 @@
 fn change(id: &str, revision: u64, is_present: bool) -> registry::SearcherChange {
     registry::SearcherChange {
         id: id.into(),
-        revision: registry::StoreRevision(revision),
+        revision: registry::StoreRevision::new(registry::StoreEra(0), revision),
         searcher: is_present.then(|| searcher("a", NEAR, revision as u16)),
     }
 }
@@ -47,8 +47,10 @@
 fn only_a_changed_searcher_counts_as_a_change() {
     let mut registry = registry::Registry::default();
     assert!(registry.apply(&change("i-1", 5, true)));
-    let heartbeat =
-        registry::SearcherChange { revision: registry::StoreRevision(6), ..change("i-1", 5, true) };
+    let heartbeat = registry::SearcherChange {
+        revision: registry::StoreRevision::new(registry::StoreEra(0), 6),
+        ..change("i-1", 5, true)
+    };
     assert!(!registry.apply(&heartbeat), "a heartbeat changes the revision only");
     assert!(!registry.apply(&change("i-1", 4, false)), "a removal older than the heartbeat");
     assert!(registry.apply(&change("i-1", 7, false)));
@@ -141,7 +143,10 @@
         }
     }
     assert_ne!(restarted.digest(), current.digest());
-    let removals = restarted.removals_missing_in(current.records(), registry::StoreRevision(20));
+    let removals = restarted.removals_missing_in(
+        current.records(),
+        registry::StoreRevision::new(registry::StoreEra(0), 20),
+    );
     assert_eq!(removals, [change("i-left", 20, false)]);
     for removal in &removals {
         restarted.apply(removal);
@@ -173,7 +178,7 @@
                 instance.apply(report);
             }
         }
-        let revision = registry::StoreRevision(as_of as u64);
+        let revision = registry::StoreRevision::new(registry::StoreEra(0), as_of as u64);
         let mut all = source.records().to_vec();
         all.extend(instance.removals_missing_in(source.records(), revision));
         for report in &all {
@@ -190,3 +195,62 @@
     }
     quickcheck(holds as fn(Vec<(u8, bool)>, u8, Vec<u8>) -> bool);
 }
+
+/// A change in the era after a restore of the store.
+fn restored(id: &str, revision: u64, is_present: bool) -> registry::SearcherChange {
+    let era = registry::StoreEra(1);
+    registry::SearcherChange {
+        revision: registry::StoreRevision::new(era, revision),
+        ..change(id, revision, is_present)
+    }
+}
+
+/// By number alone, what a restored store accepts would count as older than what it has lost.
+#[test]
+fn a_later_era_is_newer_than_any_revision_of_an_earlier_one() {
+    let mut registry = registry::Registry::default();
+    assert!(registry.apply(&change("i-1", 900, true)));
+    assert!(registry.apply(&restored("i-1", 7, true)));
+    assert!(!registry.apply(&change("i-1", 901, false)), "a late report of the earlier era");
+    let revision: registry::StoreRevision = "1:7".parse().unwrap();
+    assert_eq!(registry.get("i-1").unwrap().revision, revision);
+    assert_eq!(revision.to_string(), "1:7");
+    assert!("7".parse::<registry::StoreRevision>().is_err());
+}
+
+/// A restored copy lists searchers as ready that have left since it was made.
+#[test]
+fn a_restored_copy_does_not_bring_back_what_has_left() {
+    let mut registry = registry::Registry::default();
+    let mut draining = change("i-1", 5, true);
+    draining.searcher.as_mut().unwrap().state = registry::SearcherState::Draining;
+    registry.apply(&draining);
+    registry.apply(&change("i-2", 5, true));
+    registry.apply(&change("i-2", 6, false));
+    registry.apply(&change("i-3", 5, true));
+    let mut restarted = change("i-4", 5, true);
+    restarted.searcher.as_mut().unwrap().boot_ms = 50;
+    registry.apply(&restarted);
+    for id in ["i-1", "i-2", "i-4"] {
+        assert!(registry.is_superseded(&restored(id, 4, true)), "{id}");
+    }
+    assert!(!registry.is_superseded(&restored("i-3", 4, true)), "it was ready all the time");
+    assert!(!registry.is_superseded(&restored("i-5", 4, true)), "it was not known");
+    assert!(!registry.is_superseded(&change("i-2", 7, true)), "a new entry of the same era");
+}
+
+/// Searchers that the copy lacks may be alive, and need time to register again.
+#[test]
+fn removals_by_a_restore_are_held_once_for_each_era() {
+    let mut registry = registry::Registry::default();
+    registry.apply(&change("i-1", 5, true));
+    assert!(registry.is_removal_by_restore(&restored("i-1", 3, false)));
+    assert!(!registry.is_removal_by_restore(&change("i-1", 6, false)));
+    let mut hold = registry::RemovalHold::new(5 * SECOND_US / 2);
+    let era = registry::StoreEra(1);
+    hold.record_restore(SECOND_US, era);
+    assert!(hold.filter(SECOND_US, vec![restored("i-1", 3, false)]).is_empty());
+    hold.record_restore(2 * SECOND_US, era);
+    let released = hold.filter(SECOND_US + registry::REMOVAL_HOLD_US, Vec::new());
+    assert_eq!(released, [restored("i-1", 3, false)], "a later read does not extend the hold");
+}
--- a/tests/forward_support/mod.rs
+++ b/tests/forward_support/mod.rs
@@ -37,7 +37,7 @@
 pub fn record(id: &str, searcher: registry::Searcher) -> registry::SearcherChange {
     registry::SearcherChange {
         id: id.into(),
-        revision: registry::StoreRevision(1),
+        revision: registry::StoreRevision::new(registry::StoreEra(0), 1),
         searcher: Some(searcher),
     }
 }
