Check a configuration before it is sent

An operator had no way to see that a configuration is rejected by instances, or that a part of it has no effect, before it is in force. `tarragondoor-platform check-config` lists errors, entries that never match, limits that contradict each other and the differences from the version in force, without keys, and exits with 2 if there are errors.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod clock;
 pub mod cmd;
 pub mod config;
+pub mod config_check;
 pub mod connection;
 pub mod daemon;
 pub mod discovery;
