Read tenants, keys and home regions from the configuration, and check keys

Deployments with tenants need each request attributed to one. The configuration now holds tenants with keys, quotas, priorities and home regions, routes that need no key, and what cold searchers bear. A request without a known key gets 401, or 503 while a newer configuration may be due; the key is not forwarded, and the searcher gets the tenant's name. Quotas, home regions and cold limits are read but do not act yet.

--- a/src/discovery/config.rs
+++ b/src/discovery/config.rs
@@ -1,6 +1,7 @@
 //! The operator's configuration: routes, services and limits.
 
 use crate::ids;
+use crate::tenants::tenant;
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
@@ -119,6 +120,10 @@
     pub attempts: u32,
     /// Where the requests go.
     pub target: Target,
+    /// Whether its requests need no key.
+    pub is_auth_exempt: bool,
+    /// The regions in which its requests may be served; empty if any.
+    pub home_regions: Vec<CompactString>,
 }
 
 /// One service.
@@ -128,6 +133,10 @@
     pub name: ids::ServiceName,
     /// The maximum number of connections that each of its searchers accepts from all callers together.
     pub connections_max: u32,
+    /// For how long a searcher is cold after its start, in milliseconds.
+    pub cold_start_ms: u64,
+    /// How many requests per second a cold searcher bears from all callers together; 0 if there is no limit.
+    pub cold_per_s: f64,
 }
 
 /// Limits on the size of clients' requests and on the idle time of their connections.
@@ -156,6 +165,8 @@
     pub services: Vec<Service>,
     /// The limits for clients.
     pub limits: Limits,
+    /// The tenants, sorted by name; empty if requests need no keys.
+    pub tenants: Vec<tenant::Tenant>,
 }
 
 impl Config {
@@ -164,6 +175,12 @@
         let at = self.services.binary_search_by(|service| service.name.cmp(name)).ok()?;
         self.services.get(at)
     }
+
+    /// The tenant with this name; `None` if the configuration does not declare it.
+    pub fn tenant(&self, name: &str) -> Option<&tenant::Tenant> {
+        let at = self.tenants.binary_search_by(|tenant| tenant.name.as_str().cmp(name)).ok()?;
+        self.tenants.get(at)
+    }
 }
 
 /// The differences between two configurations.
@@ -183,6 +200,10 @@
     pub services_gone: Vec<ids::ServiceName>,
     /// The limits for clients.
     pub limits: Limits,
+    /// Tenants that were added or changed.
+    pub tenants: Vec<tenant::Tenant>,
+    /// Names of tenants that were removed.
+    pub tenants_gone: Vec<CompactString>,
 }
 
 impl ConfigDelta {
@@ -216,6 +237,18 @@
                 services_gone.push(service.name.clone());
             }
         }
+        let mut tenants = Vec::new();
+        for tenant in &new.tenants {
+            if old.tenant(&tenant.name) != Some(tenant) {
+                tenants.push(tenant.clone());
+            }
+        }
+        let mut tenants_gone = Vec::new();
+        for tenant in &old.tenants {
+            if new.tenant(&tenant.name).is_none() {
+                tenants_gone.push(tenant.name.clone());
+            }
+        }
         Self {
             base: old.version,
             version: new.version,
@@ -224,6 +257,8 @@
             services,
             services_gone,
             limits: new.limits,
+            tenants,
+            tenants_gone,
         }
     }
 
@@ -248,7 +283,15 @@
                 Err(at) => services.insert(at, service),
             }
         }
-        Some(Config { version: self.version, routes, services, limits: self.limits })
+        let mut tenants = old.tenants.clone();
+        tenants.retain(|tenant| !self.tenants_gone.contains(&tenant.name));
+        for tenant in self.tenants {
+            match tenants.binary_search_by(|known| known.name.cmp(&tenant.name)) {
+                Ok(at) => tenants[at] = tenant,
+                Err(at) => tenants.insert(at, tenant),
+            }
+        }
+        Some(Config { version: self.version, routes, services, limits: self.limits, tenants })
     }
 }
 
--- a/src/discovery/table.rs
+++ b/src/discovery/table.rs
@@ -1,27 +1,31 @@
 //! Finds the route of a request.
 
 use crate::discovery::config;
+use crate::tenants::credentials;
 use compact_str::CompactString;
 use std::sync;
 
-/// A configuration with an index of its routes.
+/// A configuration with an index of its routes and of its tenants' keys.
 #[derive(Debug)]
 pub struct RouteTable {
     /// The configuration.
     pub config: sync::Arc<config::Config>,
     /// Lower-case host, prefix and position in `config.routes`; sorted.
     index: Vec<(CompactString, CompactString, usize)>,
+    /// The tenants' keys.
+    pub credentials: credentials::Index,
 }
 
 impl RouteTable {
-    /// Builds the index of a configuration.
+    /// Builds the indexes of a configuration.
     pub fn new(config: sync::Arc<config::Config>) -> Self {
         let mut index = Vec::with_capacity(config.routes.len());
         for (at, route) in config.routes.iter().enumerate() {
             index.push((route.host.to_ascii_lowercase(), route.prefix.clone(), at));
         }
         index.sort();
-        Self { config, index }
+        let credentials = credentials::Index::new(&config.tenants);
+        Self { config, index, credentials }
     }
 
     /// Finds the route of `host` with the longest prefix that matches `path`; `None` if no prefix matches. A
--- a/src/events.rs
+++ b/src/events.rs
@@ -76,6 +76,8 @@
     SearcherLimit = 506,
     /// A request was refused because the instance stops before it would be answered.
     RefusedByShutdown = 507,
+    /// A request has no key that a tenant holds.
+    UnknownKey = 508,
 }
 
 impl Event {
--- a/src/forward/dialect.rs
+++ b/src/forward/dialect.rs
@@ -22,6 +22,14 @@
     pub leaving: HeaderName,
     /// In a searcher's answer: how many requests per second it takes from all instances together.
     pub limit: HeaderName,
+    /// The client's key.
+    pub credential: HeaderName,
+    /// The name of the tenant that holds the client's key, for the searcher.
+    pub tenant: HeaderName,
+    /// In a searcher's answer: its load.
+    pub load: HeaderName,
+    /// In a searcher's answer to a health check: how much longer it is cold, in milliseconds.
+    pub cold_remaining_ms: HeaderName,
     /// In the answer to a gather: the searchers' signatures of its parts.
     pub part_stamps: HeaderName,
     /// In the answer to a gather: the number of missing shards.
--- a/src/forward/header.rs
+++ b/src/forward/header.rs
@@ -1,6 +1,7 @@
 //! Reads the headers and URIs of requests, and adapts them for forwarding.
 
 use crate::forward::dialect;
+use crate::tenants::authentication;
 use compact_str::CompactString;
 
 /// A header's value; empty if the header is missing or is not visible ASCII.
@@ -9,17 +10,34 @@
 }
 
 /// The client's headers that are forwarded to the searcher: all but the hop-by-hop headers and those that
-/// the instance sets itself.
-pub fn forwarded(headers: &http::HeaderMap, names: &dialect::Headers) -> http::HeaderMap {
+/// the instance sets itself. In a configuration with tenants the key is not forwarded, and the searcher is told the
+/// caller's tenant.
+pub fn forwarded(
+    headers: &http::HeaderMap,
+    names: &dialect::Headers,
+    caller: authentication::Caller<'_>,
+) -> http::HeaderMap {
     let options = connection_options(headers);
-    let mut forwarded = http::HeaderMap::with_capacity(headers.len());
+    let has_tenants = caller != authentication::Caller::NoTenants;
+    let mut forwarded = http::HeaderMap::with_capacity(headers.len() + 1);
     for (name, value) in headers {
         let is_replaced = name == names.deadline_ms || name == names.expected_searcher;
         if is_replaced || is_hop_by_hop(name, &options) || name == http::header::CONTENT_LENGTH {
             continue;
         }
+        if has_tenants && (name == names.credential || name == names.tenant) {
+            continue;
+        }
         forwarded.append(name.clone(), value.clone());
     }
+    let tenant = caller.tenant_name().map(http::HeaderValue::from_str);
+    match tenant {
+        Some(Ok(value)) => {
+            forwarded.insert(names.tenant.clone(), value);
+        }
+        Some(Err(error)) => tracing::warn!(%error, "the tenant's name can't be sent in a header"),
+        None => {}
+    }
     forwarded
 }
 
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -16,6 +16,7 @@
 use crate::forward::shutdown;
 use crate::ids;
 use crate::rate_limit;
+use crate::tenants::authentication;
 use bytes::Bytes;
 use compact_str::CompactString;
 use http_body_util::BodyExt as _;
@@ -67,6 +68,8 @@
 struct RequestRecord {
     id: CompactString,
     route: CompactString,
+    /// Empty if the request belongs to none.
+    tenant: CompactString,
     priority: u8,
     target_ms: u64,
     /// The number of parts of the query.
@@ -214,6 +217,16 @@
         if id.is_empty() {
             return Ok(self.close_if_stopping(response::status(http::StatusCode::BAD_REQUEST)));
         }
+        let caller = authentication::authenticate(
+            &table.config,
+            &table.credentials,
+            route,
+            &head.headers,
+            &names.credential,
+        );
+        if caller == authentication::Caller::Unknown {
+            return Ok(self.close_if_stopping(self.refuse_unknown_key(&id, route)));
+        }
         let limits = &table.config.limits;
         let max_bytes = limits.body_max_bytes.max(BODY_LIMIT_MIN_BYTES) as usize;
         let body = match http_body_util::Limited::new(body, max_bytes).collect().await {
@@ -234,14 +247,16 @@
             self.forwarder.waited_us(route, deadline_ms.saturating_mul(1_000))
         });
         let margin_us = self.forwarder.answer_margin_us();
-        let spec = query::Spec { waited_us, margin_us, ..spec(route, arrived_us, timeout_us) };
+        let priority = caller.priority(route);
+        let spec =
+            query::Spec { waited_us, margin_us, priority, ..spec(route, arrived_us, timeout_us) };
         if self.is_refused_by_shutdown(&id, &spec) {
             return Ok(self.close_if_stopping(response::refuse(shutdown::RETRY_AFTER_MS)));
         }
         let outgoing = attempt::OutgoingRequest {
             method: head.method,
             uri: header::origin_form(&head.uri),
-            headers: header::forwarded(&head.headers, names),
+            headers: header::forwarded(&head.headers, names, caller),
             body,
             id: id.clone(),
             deadline_us: arrived_us + timeout_us,
@@ -264,7 +279,8 @@
         let record = RequestRecord {
             id,
             route: route.name.clone(),
-            priority: route.priority,
+            tenant: caller.tenant_name().unwrap_or_default().into(),
+            priority,
             target_ms: route.target_latency_ms,
             parts: route.target.parts(),
             config: table.config.version,
@@ -285,6 +301,27 @@
         response::refuse(retry_after::unready_ms(waiting_us))
     }
 
+    /// The response to a request without a known key. A configuration that is not known here may have the key.
+    fn refuse_unknown_key(&self, id: &str, route: &config::Route) -> response::Response {
+        let is_overdue = self.view.is_config_overdue(self.config_apply);
+        if let Some(left_out) = self.troubled_log_limit.allow(clock::now_us()) {
+            event!(
+                info,
+                Event::UnknownKey,
+                request = %id,
+                route = %route.name,
+                config = self.view.config_version().0,
+                is_overdue,
+                left_out
+            );
+        }
+        if !is_overdue {
+            return response::status(http::StatusCode::UNAUTHORIZED);
+        }
+        let age_us = self.view.ages().config_us.unwrap_or(0);
+        response::refuse(retry_after::unready_ms(age_us))
+    }
+
     /// Whether the instance stops before it expects to answer the request.
     fn is_refused_by_shutdown(&self, id: &str, spec: &query::Spec) -> bool {
         let Some(last_answer_us) = self.phase.borrow().last_answer_us() else {
@@ -369,6 +406,7 @@
             Event::RequestTroubled,
             request = %record.id,
             route = %record.route,
+            tenant = %record.tenant,
             priority = record.priority,
             outcome,
             status = record.status.as_u16(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,4 +65,5 @@
 pub mod settings_worker;
 pub mod slots;
 pub mod snapshot;
+pub mod tenants;
 pub mod trace;
--- /dev/null
+++ b/src/tenants.rs
@@ -0,0 +1,5 @@
+//! Tenants: the customers' accounts that requests are attributed to, with their keys, quotas and home regions.
+
+pub mod authentication;
+pub mod credentials;
+pub mod tenant;
--- /dev/null
+++ b/src/tenants/authentication.rs
@@ -0,0 +1,61 @@
+//! Attributes a request to a tenant by the key that it carries.
+
+use crate::discovery::config;
+use crate::tenants::credentials;
+use crate::tenants::tenant;
+
+/// Whom a request belongs to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Caller<'a> {
+    /// The configuration has no tenants.
+    NoTenants,
+    /// The route needs no key.
+    Exempt,
+    /// The tenant that holds the request's key.
+    Tenant(&'a tenant::Tenant),
+    /// The request has no key, several, or one that no tenant holds.
+    Unknown,
+}
+
+impl Caller<'_> {
+    /// Returns the priority of a request of this caller on a route.
+    pub fn priority(self, route: &config::Route) -> u8 {
+        match self {
+            Self::Tenant(tenant) => tenant::request_priority(tenant.priority, route.priority),
+            Self::NoTenants | Self::Exempt | Self::Unknown => route.priority,
+        }
+    }
+
+    /// Returns the tenant's name; `None` if the request belongs to none.
+    pub fn tenant_name(&self) -> Option<&str> {
+        match self {
+            Self::Tenant(tenant) => Some(&tenant.name),
+            Self::NoTenants | Self::Exempt | Self::Unknown => None,
+        }
+    }
+}
+
+/// Attributes a request on `route` to a tenant of `config`, whose keys are in `index`. `name` is the header with the
+/// key.
+pub fn authenticate<'a>(
+    config: &'a config::Config,
+    index: &credentials::Index,
+    route: &config::Route,
+    headers: &http::HeaderMap,
+    name: &http::HeaderName,
+) -> Caller<'a> {
+    if config.tenants.is_empty() {
+        return Caller::NoTenants;
+    }
+    if route.is_auth_exempt {
+        return Caller::Exempt;
+    }
+    let mut keys = headers.get_all(name).iter();
+    let (Some(key), None) = (keys.next(), keys.next()) else {
+        return Caller::Unknown;
+    };
+    match index.tenant(key.as_bytes()) {
+        Some(tenant) => Caller::Tenant(&config.tenants[tenant.0]),
+        None => Caller::Unknown,
+    }
+}
--- a/tests/forward_routes.rs
+++ b/tests/forward_routes.rs
@@ -54,7 +54,7 @@
     let old = configuration(3, vec![route("a", "h", "/a/"), route("b", "h", "/b/")]);
     let mut new = configuration(9, vec![route("a", "h", "/a/"), route("c", "h", "/c/")]);
     new.routes[0].timeout_ms = 77;
-    new.services.push(config::Service { name: service("b"), connections_max: 7 });
+    new.services.push(forward_support::declared_service("b", 7));
     let delta = config::ConfigDelta::between(&old, &new);
     assert_eq!(delta.routes.len(), 2, "the changed route and the new one");
     assert_eq!(delta.clone().apply(&old), Some(new.clone()));
--- a/tests/forward_support/mod.rs
+++ b/tests/forward_support/mod.rs
@@ -173,15 +173,22 @@
         priority: 0,
         attempts: 2,
         target: config::Target::Service(service("a")),
+        is_auth_exempt: false,
+        home_regions: Vec::new(),
     }
 }
 
+pub fn declared_service(name: &str, connections_max: u32) -> config::Service {
+    config::Service { name: service(name), connections_max, cold_start_ms: 0, cold_per_s: 0.0 }
+}
+
 pub fn configuration(version: u64, routes: Vec<config::Route>) -> config::Config {
     config::Config {
         version: config::ConfigVersion(version),
         routes,
-        services: vec![config::Service { name: service("a"), connections_max: 40 }],
+        services: vec![declared_service("a", 40)],
         limits: limits(),
+        tenants: Vec::new(),
     }
 }
 
