Serve requests with home regions only there

A route or a tenant may restrict the regions in which its requests are served; the field was read and did not act. The balancer now leaves out searchers elsewhere, for first sends, retries and hedges, and a request that has no searcher at home is refused with 503. The directory lists instances in the home regions of the host's routes before others, and none elsewhere while there is one in the client's or a home region.

--- a/src/forward/address.rs
+++ b/src/forward/address.rs
@@ -6,6 +6,7 @@
 
 use crate::discovery::config;
 use crate::discovery::members;
+use compact_str::CompactString;
 use std::net;
 use xxhash_rust::xxh3;
 
@@ -87,14 +88,27 @@
         self.members.binary_search_by(|known| known.name.cmp(&member.name)).is_ok()
     }
 
-    /// The addresses for a client in `region`.
-    pub fn addresses(&self, region: &str) -> Vec<net::SocketAddr> {
+    /// The addresses for a client in `region`, whose requests have the home regions `homes`; empty if they have none. If
+    /// the client's region has too few instances, all those in the home regions follow. With home regions, instances
+    /// elsewhere are added only if there is no other.
+    pub fn addresses(&self, region: &str, homes: &[CompactString]) -> Vec<net::SocketAddr> {
         let mut addresses = Vec::new();
         for member in &self.members {
             if member.region == region {
                 addresses.extend(member.front);
             }
         }
+        if addresses.len() < ADDRESSES_MIN {
+            for member in &self.members {
+                if member.region != region && homes.contains(&member.region) {
+                    addresses.extend(member.front);
+                }
+            }
+            if !homes.is_empty() && !addresses.is_empty() {
+                addresses.truncate(ADDRESSES_MAX);
+                return addresses;
+            }
+        }
         for member in &self.members {
             if addresses.len() >= ADDRESSES_MIN {
                 break;
--- a/src/forward/balancer.rs
+++ b/src/forward/balancer.rs
@@ -9,6 +9,7 @@
 use crate::forward::endpoint;
 use crate::forward::limit;
 use crate::ids;
+use crate::placement::homes;
 use compact_str::CompactString;
 use std::sync;
 
@@ -157,6 +158,8 @@
 
 struct Entry {
     endpoint: sync::Arc<endpoint::Endpoint>,
+    /// Its region; empty if it is not known.
+    region: CompactString,
     connections_max: u32,
     stats: Stats,
 }
@@ -184,13 +187,15 @@
 
 /// The properties of a request that affect the selection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RequestProfile {
+pub struct RequestProfile<'a> {
     /// The median processing time of its route.
     pub median_processing_us: u64,
     /// The priority of its route; 0 is the most urgent.
     pub priority: u8,
     /// Added to the cost of searchers in other regions, since traffic between regions is expensive.
     pub cross_region_penalty_us: u64,
+    /// The regions whose searchers may be used.
+    pub homes: &'a homes::Homes,
 }
 
 /// All searchers that accept new requests, with their statistics.
@@ -257,11 +262,13 @@
             let entry = match known {
                 Some(index) => Entry { connections_max, ..old.swap_remove(index) },
                 None => {
+                    let region = self.region_of(&searcher.domain).into();
                     let distance = distance(&searcher.domain);
                     let endpoint =
                         endpoint::Endpoint::new(record.id.clone(), searcher.clone(), distance);
                     Entry {
                         endpoint: sync::Arc::new(endpoint),
+                        region,
                         connections_max,
                         stats: Stats::new(now_us),
                     }
@@ -279,7 +286,7 @@
         now_us: u64,
         service: &ids::ServiceName,
         tried: &[CompactString],
-        profile: RequestProfile,
+        profile: RequestProfile<'_>,
     ) -> Option<Candidate> {
         let start =
             self.entries.partition_point(|entry| entry.endpoint.searcher.service < *service);
@@ -288,7 +295,7 @@
             if entry.endpoint.searcher.service != *service {
                 break;
             }
-            if tried.contains(&entry.endpoint.id) || entry.endpoint.is_gone() {
+            if tried.contains(&entry.endpoint.id) || !is_usable(entry, profile.homes) {
                 continue;
             }
             let connections_cap =
@@ -329,10 +336,11 @@
         service: &ids::ServiceName,
         tried: &[CompactString],
         priority: u8,
+        homes: &homes::Homes,
     ) -> Option<u64> {
         let mut earliest_us: Option<u64> = None;
         for entry in self.service_entries(service) {
-            if entry.endpoint.is_gone() || tried.contains(&entry.endpoint.id) {
+            if tried.contains(&entry.endpoint.id) || !is_usable(entry, homes) {
                 continue;
             }
             let from_us = self.accepts_entry_from_us(now_us, entry, priority);
@@ -433,10 +441,13 @@
     /// Returns this instance's part of the limit that a searcher has named; `None` if it has named none.
     fn limit_part(&self, entry: &Entry) -> Option<limit::RequestRate> {
         let limit = entry.endpoint.limit()?;
-        let domain = &entry.endpoint.searcher.domain;
-        let found = self.regions.binary_search_by(|(known, _)| known.cmp(domain));
-        let region = found.map_or("", |index| self.regions[index].1.as_str());
-        Some(self.sharers.part(&entry.endpoint.id, region, limit))
+        Some(self.sharers.part(&entry.endpoint.id, &entry.region, limit))
+    }
+
+    /// Returns the region of a failure domain; empty if it is not known.
+    fn region_of(&self, domain: &str) -> &str {
+        let found = self.regions.binary_search_by(|(known, _)| known.as_str().cmp(domain));
+        found.map_or("", |index| self.regions[index].1.as_str())
     }
 
     /// Returns how many connections this instance may have to a searcher: its limit of concurrent sends.
@@ -491,6 +502,11 @@
     }
 }
 
+/// Whether a request with these home regions may be sent to a searcher at all.
+fn is_usable(entry: &Entry, homes: &homes::Homes) -> bool {
+    !entry.endpoint.is_gone() && homes.allows(&entry.region)
+}
+
 fn sort_key(entry: &Entry) -> (&ids::ServiceName, &compact_str::CompactString) {
     (&entry.endpoint.searcher.service, &entry.endpoint.id)
 }
--- a/src/forward/dialect.rs
+++ b/src/forward/dialect.rs
@@ -39,6 +39,8 @@
 /// A client's request for the addresses of instances.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct DirectoryCall {
+    /// The host that the client wants to reach; empty if it names none.
+    pub host: CompactString,
     /// The client's region.
     pub region: CompactString,
     /// The client's failure domain.
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -3,6 +3,7 @@
 use crate::discovery::view;
 use crate::forward::endpoint;
 use crate::forward::query;
+use crate::placement;
 use prometheus_client::encoding;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter;
@@ -73,6 +74,8 @@
     members: gauge::Gauge,
     client_connections: gauge::Gauge,
     searcher_connections: gauge::Gauge,
+    /// The metrics of placement.
+    pub placement: placement::metrics::Metrics,
 }
 
 impl Metrics {
@@ -98,6 +101,7 @@
             members: gauge::Gauge::default(),
             client_connections: gauge::Gauge::default(),
             searcher_connections: gauge::Gauge::default(),
+            placement: placement::metrics::Metrics::default(),
         };
         metrics.register();
         metrics
@@ -105,6 +109,7 @@
 
     fn register(&mut self) {
         let registry = &mut self.registry;
+        self.placement.register(registry);
         registry.register("requests", "Requests of clients by outcome", self.requests.clone());
         registry.register("latency_seconds", "Time to the answer", self.latency.clone());
         registry.register(
--- a/src/forward/query.rs
+++ b/src/forward/query.rs
@@ -14,6 +14,7 @@
 use crate::forward::latency;
 use crate::forward::retry_after;
 use crate::ids;
+use crate::placement::homes;
 use bytes::Bytes;
 use compact_str::CompactString;
 use std::sync;
@@ -66,6 +67,8 @@
     pub margin_us: u64,
     /// The client's timeout, or the route's if that is shorter, counted from the arrival.
     pub timeout_us: u64,
+    /// The regions whose searchers may be used.
+    pub homes: homes::Homes,
 }
 
 /// A complete response of a searcher.
@@ -250,6 +253,12 @@
         parts.filter_map(|(service, part)| Some((service, part.failed?)))
     }
 
+    /// Whether nothing was sent because a part has no searcher in the request's home regions.
+    pub fn lacks_home_searcher(&self) -> bool {
+        let has_none = |part: &Part| part.failed == Some(PartFailure::NoSearcher);
+        self.spec.homes.is_restricted() && self.sends.is_empty() && self.parts.iter().any(has_none)
+    }
+
     /// Returns the number of answered parts.
     pub fn answered_count(&self) -> usize {
         self.parts.iter().filter(|part| part.answer.is_some()).count()
@@ -292,6 +301,7 @@
                 service,
                 &[],
                 priority,
+                &self.spec.homes,
             ));
         }
         accepting_from_us.sort_unstable();
@@ -385,8 +395,13 @@
             Err(PartFailure::Busy) => {
                 let service = &self.spec.services[part_index];
                 let tried = &self.parts[part_index].tried;
-                let from_us =
-                    context.balancer.accepts_from_us(now_us, service, tried, self.spec.priority);
+                let from_us = context.balancer.accepts_from_us(
+                    now_us,
+                    service,
+                    tried,
+                    self.spec.priority,
+                    &self.spec.homes,
+                );
                 let wait_until_us = self.wait_until_us();
                 if now_us < wait_until_us && from_us.is_some_and(|us| us <= wait_until_us) {
                     self.parts[part_index].waiting = Some(reason);
@@ -525,15 +540,24 @@
             Reason::Hedge | Reason::Retry | Reason::Reconnect => 0,
         };
         let priority = self.spec.priority;
-        let profile =
-            balancer::RequestProfile { median_processing_us, priority, cross_region_penalty_us };
+        let profile = balancer::RequestProfile {
+            median_processing_us,
+            priority,
+            cross_region_penalty_us,
+            homes: &self.spec.homes,
+        };
         let service = &self.spec.services[part_index];
         let found = context.balancer.find(now_us, service, &part.tried, profile);
         let candidate = match found {
             Some(candidate) => candidate,
             None => {
-                let accepts =
-                    context.balancer.accepts_from_us(now_us, service, &part.tried, priority);
+                let accepts = context.balancer.accepts_from_us(
+                    now_us,
+                    service,
+                    &part.tried,
+                    priority,
+                    &self.spec.homes,
+                );
                 return Err(accepts.map_or(PartFailure::NoSearcher, |_| PartFailure::Busy));
             }
         };
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -317,6 +317,9 @@
             }
             if let Some(completion) = query.completion(clock::now_us()) {
                 self.metrics.record_denied_hedges(query.hedges_denied());
+                if query.lacks_home_searcher() {
+                    self.metrics.placement.record_no_home_searcher();
+                }
                 return Report::new(query, completion, clock::now_us());
             }
             let now_us = clock::now_us();
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -15,6 +15,7 @@
 use crate::forward::run;
 use crate::forward::shutdown;
 use crate::ids;
+use crate::placement::homes;
 use crate::rate_limit;
 use crate::tenants::authentication;
 use bytes::Bytes;
@@ -248,8 +249,14 @@
         });
         let margin_us = self.forwarder.answer_margin_us();
         let priority = caller.priority(route);
-        let spec =
-            query::Spec { waited_us, margin_us, priority, ..spec(route, arrived_us, timeout_us) };
+        let homes = homes::Homes::of(route, caller.tenant());
+        let spec = query::Spec {
+            waited_us,
+            margin_us,
+            priority,
+            homes,
+            ..spec(route, arrived_us, timeout_us)
+        };
         if self.is_refused_by_shutdown(&id, &spec) {
             return Ok(self.close_if_stopping(response::refuse(shutdown::RETRY_AFTER_MS)));
         }
@@ -435,7 +442,10 @@
         let Some(call) = (dialect.parse_directory)(uri) else {
             return response::status(http::StatusCode::NOT_FOUND);
         };
-        let addresses = self.forwarder.active().addresses(&call.region);
+        let table = self.view.table();
+        let homes =
+            table.map_or_else(Vec::new, |table| homes::regions_of_host(&table.config, &call.host));
+        let addresses = self.forwarder.active().addresses(&call.region, &homes);
         if addresses.is_empty() {
             return self.refuse_not_ready();
         }
@@ -571,6 +581,7 @@
         target_us: route.target_latency_ms * 1_000,
         margin_us: 0,
         timeout_us,
+        homes: homes::Homes::Any,
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod peer_api;
 pub mod peer_server;
 pub mod peers;
+pub mod placement;
 pub mod plan;
 pub mod platform;
 pub mod platform_api;
--- a/src/tenants/authentication.rs
+++ b/src/tenants/authentication.rs
@@ -17,7 +17,15 @@
     Unknown,
 }
 
-impl Caller<'_> {
+impl<'a> Caller<'a> {
+    /// Returns the tenant; `None` if the request belongs to none.
+    pub fn tenant(self) -> Option<&'a tenant::Tenant> {
+        match self {
+            Self::Tenant(tenant) => Some(tenant),
+            Self::NoTenants | Self::Exempt | Self::Unknown => None,
+        }
+    }
+
     /// Returns the priority of a request of this caller on a route.
     pub fn priority(self, route: &config::Route) -> u8 {
         match self {
--- a/tests/forward_members.rs
+++ b/tests/forward_members.rs
@@ -231,7 +231,7 @@
     let active = address::ActiveMembers::select(&live, Some(&config));
     let counts = REGIONS.map(|region| active.count_in(region));
     assert_eq!(counts, [6, 5, 5], "78 connections, at five per active instance");
-    assert_eq!(counts, REGIONS.map(|region| active.addresses(region).len()));
+    assert_eq!(counts, REGIONS.map(|region| active.addresses(region, &[]).len()));
     let survivors: Vec<&members::Member> =
         fleet.iter().filter(|member| !active.contains(member)).collect();
     let next = address::ActiveMembers::select(&survivors, Some(&config));
@@ -253,9 +253,13 @@
     fleet[1].state = members::MemberState::Starting;
     let live: Vec<&members::Member> = fleet.iter().collect();
     let active = address::ActiveMembers::select(&live, None);
-    assert_eq!(active.addresses("west").len(), 2);
-    assert_eq!(active.addresses("north").len(), 2, "its only instance and one from another region");
-    assert_eq!(active.addresses("north")[0], fleet[3].front.unwrap());
-    assert_eq!(active.addresses("nowhere").len(), 2);
-    assert!(address::ActiveMembers::select(&[], None).addresses("north").is_empty());
+    assert_eq!(active.addresses("west", &[]).len(), 2);
+    assert_eq!(
+        active.addresses("north", &[]).len(),
+        2,
+        "its only instance and one from another region"
+    );
+    assert_eq!(active.addresses("north", &[])[0], fleet[3].front.unwrap());
+    assert_eq!(active.addresses("nowhere", &[]).len(), 2);
+    assert!(address::ActiveMembers::select(&[], None).addresses("north", &[]).is_empty());
 }
--- a/tests/forward_query.rs
+++ b/tests/forward_query.rs
@@ -10,6 +10,7 @@
 use forward_support::single;
 use tarragondoor::forward::balancer;
 use tarragondoor::forward::query;
+use tarragondoor::placement::homes;
 
 const SHARDS: [&str; 4] = ["a", "b", "c", "d"];
 
@@ -248,6 +249,7 @@
             median_processing_us: 30_000,
             priority: 0,
             cross_region_penalty_us: 0,
+            homes: &homes::Homes::Any,
         };
         let mut choices = Vec::new();
         while let Some(candidate) = fixture.balancer.find(START_US, &service("a"), &[], profile) {
--- a/tests/forward_support/mod.rs
+++ b/tests/forward_support/mod.rs
@@ -14,6 +14,7 @@
 use tarragondoor::forward::latency;
 use tarragondoor::forward::query;
 use tarragondoor::ids;
+use tarragondoor::placement::homes;
 
 pub const SECOND_US: u64 = 1_000_000;
 pub const NEAR: &str = "north-a";
@@ -113,6 +114,7 @@
         target_us: 250_000,
         margin_us: 10_000,
         timeout_us: 1_500_000,
+        homes: homes::Homes::Any,
     }
 }
 
