Send nothing to the searchers of evacuated zones

The operator requests with a key in the store that nothing is sent to the searchers of a zone. Where bounds.evacuateMs is set, the watch of the configuration covers these keys. The set of zones, complete as of a store revision, is distributed to all instances at once and stated with each heartbeat, so that an instance that the store turns away or that missed it has it too. The balancer leaves out the searchers of these zones.

--- a/src/discovery/feed.rs
+++ b/src/discovery/feed.rs
@@ -7,6 +7,7 @@
 use crate::discovery::members;
 use crate::discovery::registry;
 use crate::frame;
+use crate::placement::evacuation;
 use flate2::read;
 use flate2::write;
 use serde::{Deserialize, Serialize};
@@ -43,6 +44,8 @@
     SendConfig,
     /// Requests all searchers.
     SendSearchers,
+    /// Requests the evacuated zones.
+    SendEvacuations,
     /// The longest timeouts that clients have stated to the subscriber.
     ClientTimeouts(Vec<client_wait::LongestTimeout>),
 }
@@ -71,6 +74,8 @@
     ConfigDelta(Box<config::ConfigDelta>),
     /// The longest timeouts that clients have stated to instances of the source's region.
     ClientTimeouts(Vec<client_wait::LongestTimeout>),
+    /// The evacuated zones. They go to subscribers in all regions at once, since they are few and rarely change.
+    Evacuations(evacuation::Snapshot),
     /// Another update, encoded and compressed.
     Compressed(Vec<u8>),
     /// Sent periodically: how recent the source's state is.
@@ -89,6 +94,8 @@
         /// How long ago the source last knew both, also while updates about them wait to be sent; `None` if it never
         /// did.
         read_age_us: Option<u64>,
+        /// The evacuated zones that the source knows; `None` if it knows of none or they are not used.
+        evacuations: Option<evacuation::Summary>,
     },
 }
 
--- a/src/discovery/publisher.rs
+++ b/src/discovery/publisher.rs
@@ -283,6 +283,7 @@
                     }
                     Some(feed::Request::SendConfig) => self.needs_config = true,
                     Some(feed::Request::SendSearchers) => self.needs_searchers = true,
+                    Some(feed::Request::SendEvacuations) => self.send_evacuations().await?,
                     Some(feed::Request::ClientTimeouts(timeouts)) => self.shared.view.tell_client_timeouts(&timeouts),
                     None => return Ok(()),
                 },
@@ -413,6 +414,9 @@
     /// Forwards an update. Searchers and configurations go to subscribers in the same region only: traffic
     /// between regions is expensive, and subscribers elsewhere request what the hub of their own region has not sent.
     async fn forward(&mut self, update: &sync::Arc<feed::Update>) -> Result<(), frame::FrameError> {
+        if matches!(**update, feed::Update::Evacuations(_)) {
+            return self.send_evacuations().await;
+        }
         let origin = Origin::Update(update.clone());
         let subject = origin.subject();
         match (subject, self.is_same_region()) {
@@ -426,6 +430,18 @@
         }
     }
 
+    /// Sends the evacuated zones, if they are known. They are not paced: they are small and urgent.
+    async fn send_evacuations(&mut self) -> Result<(), frame::FrameError> {
+        let Some(snapshot) = self.shared.view.evacuations() else {
+            return Ok(());
+        };
+        let update = feed::Update::Evacuations(snapshot);
+        let mut buffer = Vec::new();
+        self.codec.encode(&update, &mut buffer)?;
+        self.shared.metrics.record_feed_sent((&update).into(), buffer.len());
+        self.write(&buffer).await
+    }
+
     /// Whether an update about `subject` waits to be sent.
     fn waits(&self, subject: Subject) -> bool {
         let planned = [&self.urgent, &self.planned];
@@ -469,6 +485,7 @@
             searchers_as_of,
             config_age_us,
             read_age_us: ages.searchers_us.zip(ages.config_us).map(|(a, b)| a.max(b)),
+            evacuations: self.shared.view.evacuations_summary(),
         };
         let mut buffer = Vec::new();
         self.codec.encode(&heartbeat, &mut buffer)?;
--- a/src/discovery/reader.rs
+++ b/src/discovery/reader.rs
@@ -15,7 +15,8 @@
 use std::time;
 use xxhash_rust::xxh3;
 
-/// How long a watch of the configuration waits at the store, as a share of [`Bounds::config_apply`]. A second
+/// How long a watch of the configuration waits at the store, as a share of [`Bounds::config_apply`], or of
+/// [`Bounds::evacuate`] if that is shorter: the same watch reports evacuated zones. A second
 /// watch still fits into the bound if the first one's connection does not respond.
 const CONFIG_WAIT_SHARE: f64 = 0.4;
 /// The pause between two reads of the searchers, as a share of [`Bounds::drain`]. Each searcher renews
@@ -56,6 +57,9 @@
     pub config_apply: time::Duration,
     /// From a searcher's report that it is draining until it receives no new requests.
     pub drain: time::Duration,
+    /// From the request to evacuate a zone until its searchers receive no new requests; `None` if zones are not
+    /// evacuated.
+    pub evacuate: Option<time::Duration>,
 }
 
 impl Bounds {
@@ -64,7 +68,9 @@
     }
 
     fn config_wait(&self) -> time::Duration {
-        self.config_apply.mul_f64(CONFIG_WAIT_SHARE)
+        let bound =
+            self.evacuate.map_or(self.config_apply, |evacuate| evacuate.min(self.config_apply));
+        bound.mul_f64(CONFIG_WAIT_SHARE)
     }
 
     /// The age from which on a view is stale: readers that reach the store keep it younger.
@@ -221,6 +227,7 @@
                     let age_us = clock::now_us() - started_us;
                     let is_first = after.is_none();
                     after = Some(read.as_of);
+                    self.view.offer_evacuations(read.as_of, &read.evacuations);
                     if let Some(config) = read.config {
                         self.view.offer_config(config, age_us);
                     }
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -18,6 +18,13 @@
 #[serde(transparent)]
 pub struct StoreRevision(pub u64);
 
+impl StoreRevision {
+    /// How many times the store had been restored from an older copy; 0 as long as revisions do not state it.
+    pub fn era(self) -> u64 {
+        0
+    }
+}
+
 impl std::fmt::Display for StoreRevision {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         self.0.fmt(f)
--- a/src/discovery/store_client.rs
+++ b/src/discovery/store_client.rs
@@ -2,6 +2,7 @@
 
 use crate::discovery::config;
 use crate::discovery::registry;
+use crate::placement::evacuation;
 use std::time;
 
 /// Why a call to the store failed.
@@ -31,6 +32,8 @@
     pub as_of: registry::StoreRevision,
     /// The newest configuration; `None` if the answer has none that can be decoded.
     pub config: Option<config::Config>,
+    /// The evacuated zones, or their changes after a watch.
+    pub evacuations: evacuation::Read,
 }
 
 /// The result of reading or watching the searchers.
--- a/src/discovery/subscriber.rs
+++ b/src/discovery/subscriber.rs
@@ -276,6 +276,7 @@
                 self.view.change_members(|known| known.apply_source_delta(address, delta));
             }
             feed::Update::ClientTimeouts(timeouts) => self.view.tell_client_timeouts(&timeouts),
+            feed::Update::Evacuations(snapshot) => self.view.receive_evacuations(&snapshot),
             feed::Update::Config(config) => {
                 self.view.offer_config(*config, 0);
             }
@@ -300,11 +301,15 @@
                 searchers_as_of,
                 config_age_us,
                 read_age_us,
+                evacuations,
             } => {
                 if let Some(age_us) = read_age_us {
                     self.view.mark_read_by_source(age_us);
                 }
                 let mut requests = Vec::new();
+                if evacuations.is_some_and(|summary| self.view.lacks_evacuations(summary)) {
+                    requests.push(feed::Request::SendEvacuations);
+                }
                 if self.apply_searchers_heartbeat(searchers, searchers_age_us) {
                     requests.push(feed::Request::SendSearchers);
                 } else if let Some((as_of, age_us)) = searchers_as_of
--- a/src/discovery/view.rs
+++ b/src/discovery/view.rs
@@ -10,6 +10,7 @@
 use crate::event;
 use crate::events::Event;
 use crate::locks;
+use crate::placement::evacuation;
 use std::sync;
 use std::time;
 use tokio::sync::broadcast;
@@ -45,6 +46,10 @@
     read_by_source_us: Option<u64>,
     /// The newest version that another instance has, as far as it is known.
     newest_config: config::ConfigVersion,
+    /// Whether zones can be evacuated.
+    uses_evacuations: bool,
+    /// The evacuated zones; `None` if they are not known.
+    evacuations: Option<evacuation::Zones>,
 }
 
 /// The time since each part of the state was last known to be current, in microseconds.
@@ -75,6 +80,8 @@
                 config_verified_us: None,
                 read_by_source_us: None,
                 newest_config: config::ConfigVersion::default(),
+                uses_evacuations: false,
+                evacuations: None,
             }),
             client_wait: sync::Mutex::default(),
             updates: broadcast::Sender::new(BACKLOG_MAX),
@@ -341,10 +348,95 @@
         self.members_epoch.send_modify(|epoch| *epoch += 1);
     }
 
-    /// Whether the searchers and a configuration are known, so that the instance can serve.
+    /// Makes evacuated zones a part of the state; without this they are ignored.
+    pub fn use_evacuations(&self) {
+        locks::lock(&self.inner).uses_evacuations = true;
+    }
+
+    /// Applies what the store returned about the evacuated zones as of a revision.
+    pub fn offer_evacuations(&self, as_of: registry::StoreRevision, read: &evacuation::Read) {
+        if *read == evacuation::Read::Unwatched {
+            return;
+        }
+        self.change_evacuations(as_of, |zones, now_us, is_restored| {
+            zones.apply(now_us, as_of, read, is_restored)
+        });
+    }
+
+    /// Applies the evacuated zones of another instance.
+    pub fn receive_evacuations(&self, snapshot: &evacuation::Snapshot) {
+        self.change_evacuations(snapshot.as_of, |zones, now_us, is_restored| {
+            zones.receive(now_us, snapshot, is_restored)
+        });
+    }
+
+    fn change_evacuations(
+        &self,
+        as_of: registry::StoreRevision,
+        change: impl FnOnce(&evacuation::Zones, u64, bool) -> evacuation::Zones,
+    ) {
+        let now_us = clock::now_us();
+        let snapshot = {
+            let mut inner = locks::lock(&self.inner);
+            if !inner.uses_evacuations {
+                return;
+            }
+            let is_first = inner.evacuations.is_none();
+            let old = inner.evacuations.take().unwrap_or_default();
+            let is_restored = !is_first && as_of.era() > old.as_of().era();
+            let new = change(&old, now_us, is_restored);
+            let is_same = new.effective(now_us) == old.effective(now_us)
+                && new.summary().1 == old.summary().1;
+            let snapshot = new.snapshot(now_us);
+            inner.evacuations = Some(new);
+            if is_same {
+                return;
+            }
+            snapshot
+        };
+        event!(
+            info,
+            Event::EvacuationChanged,
+            zones = snapshot.zones.join(" "),
+            held = snapshot.held.len(),
+            revision = %snapshot.as_of
+        );
+        self.publish(feed::Update::Evacuations(snapshot));
+        self.searchers_epoch.send_modify(|epoch| *epoch += 1);
+    }
+
+    /// Whether another instance has newer evacuated zones that differ from the known ones.
+    pub fn lacks_evacuations(&self, theirs: evacuation::Summary) -> bool {
+        let mut inner = locks::lock(&self.inner);
+        let uses = inner.uses_evacuations;
+        uses && inner.evacuations.as_mut().is_none_or(|zones| zones.compare(theirs))
+    }
+
+    /// The evacuated zones, for other instances; `None` if they are not known.
+    pub fn evacuations(&self) -> Option<evacuation::Snapshot> {
+        let now_us = clock::now_us();
+        locks::lock(&self.inner).evacuations.as_ref().map(|zones| zones.snapshot(now_us))
+    }
+
+    /// What heartbeats state about the evacuated zones; `None` if they are not known.
+    pub fn evacuations_summary(&self) -> Option<evacuation::Summary> {
+        locks::lock(&self.inner).evacuations.as_ref().map(evacuation::Zones::summary)
+    }
+
+    /// The failure domains whose searchers get no requests, sorted.
+    pub fn evacuated_zones(&self) -> Vec<compact_str::CompactString> {
+        let now_us = clock::now_us();
+        let inner = locks::lock(&self.inner);
+        inner.evacuations.as_ref().map_or_else(Vec::new, |zones| zones.effective(now_us))
+    }
+
+    /// Whether the searchers, a configuration and, where they are used, the evacuated zones are known, so that the
+    /// instance can serve.
     pub fn is_complete(&self) -> bool {
         let ages = self.ages();
-        ages.searchers_us.is_some() && self.table.load().is_some()
+        let inner = locks::lock(&self.inner);
+        let lacks_evacuations = inner.uses_evacuations && inner.evacuations.is_none();
+        ages.searchers_us.is_some() && self.table.load().is_some() && !lacks_evacuations
     }
 
     fn publish(&self, update: feed::Update) {
--- a/src/events.rs
+++ b/src/events.rs
@@ -78,6 +78,8 @@
     RefusedByShutdown = 507,
     /// A request has no key that a tenant holds.
     UnknownKey = 508,
+    /// The zones whose searchers get no requests changed.
+    EvacuationChanged = 530,
 }
 
 impl Event {
--- a/src/forward/balancer.rs
+++ b/src/forward/balancer.rs
@@ -160,6 +160,8 @@
     endpoint: sync::Arc<endpoint::Endpoint>,
     /// Its region; empty if it is not known.
     region: CompactString,
+    /// Whether its failure domain is evacuated.
+    is_evacuated: bool,
     connections_max: u32,
     stats: Stats,
 }
@@ -207,6 +209,8 @@
     sharers: limit::Sharers,
     /// Pairs of a failure domain and its region, sorted.
     regions: Vec<(CompactString, CompactString)>,
+    /// The failure domains whose searchers get no requests, sorted.
+    evacuated: Vec<CompactString>,
 }
 
 /// The number of instances that share the searchers' connections.
@@ -269,6 +273,7 @@
                     Entry {
                         endpoint: sync::Arc::new(endpoint),
                         region,
+                        is_evacuated: self.evacuated.binary_search(&searcher.domain).is_ok(),
                         connections_max,
                         stats: Stats::new(now_us),
                     }
@@ -279,6 +284,22 @@
         self.entries.sort_by(|a, b| sort_key(a).cmp(&sort_key(b)));
     }
 
+    /// Replaces the failure domains whose searchers get no requests. `zones` is sorted.
+    pub fn set_evacuated(&mut self, zones: Vec<CompactString>) {
+        if zones == self.evacuated {
+            return;
+        }
+        for entry in &mut self.entries {
+            entry.is_evacuated = zones.binary_search(&entry.endpoint.searcher.domain).is_ok();
+        }
+        self.evacuated = zones;
+    }
+
+    /// Returns the number of searchers that are excluded because their failure domain is evacuated.
+    pub fn evacuated_count(&self) -> usize {
+        self.entries.iter().filter(|entry| entry.is_evacuated).count()
+    }
+
     /// Finds the best searcher of `service` that is not in `tried`; one in backoff only if there is no other.
     /// `None` if there is none below its limit of concurrent sends.
     pub fn find(
@@ -504,7 +525,7 @@
 
 /// Whether a request with these home regions may be sent to a searcher at all.
 fn is_usable(entry: &Entry, homes: &homes::Homes) -> bool {
-    !entry.endpoint.is_gone() && homes.allows(&entry.region)
+    !entry.endpoint.is_gone() && !entry.is_evacuated && homes.allows(&entry.region)
 }
 
 fn sort_key(entry: &Entry) -> (&ids::ServiceName, &compact_str::CompactString) {
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -179,6 +179,7 @@
                 _ = members.changed() => self.sync_members(),
                 _ = sweep.tick() => {
                     locks::lock(&self.shared).balancer.sweep();
+                    self.sync_placement();
                     if self.view.config_version() != version {
                         version = self.view.config_version();
                         self.sync_balancer();
@@ -211,9 +212,23 @@
             let mut shared = locks::lock(&self.shared);
             shared.balancer.sync(now_us, registry.records(), distance, connections_max);
         });
+        self.sync_placement();
         self.sync_members();
     }
 
+    /// Applies the rules that exclude searchers and that may change with time.
+    fn sync_placement(&self) {
+        let evacuated = self.view.evacuated_zones();
+        let mut shared = locks::lock(&self.shared);
+        shared.balancer.set_evacuated(evacuated);
+    }
+
+    /// Sets the gauges of placement.
+    pub fn update_placement_metrics(&self) {
+        let evacuated_count = locks::lock(&self.shared).balancer.evacuated_count();
+        self.metrics.placement.set_evacuated(evacuated_count);
+    }
+
     /// Drops the statistics of routes that are not in the current configuration.
     fn retain_current_routes(&self) {
         let Some(table) = self.view.table() else {
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -468,6 +468,7 @@
 
     fn metrics(&self) -> response::Response {
         let metrics = self.forwarder.metrics();
+        self.forwarder.update_placement_metrics();
         let searcher_connections = self.forwarder.connection_count();
         match metrics.render(&self.view, self.connection_count(), searcher_connections) {
             Ok(text) => {
--- a/src/node.rs
+++ b/src/node.rs
@@ -113,6 +113,9 @@
         seeds = settings.seeds.len()
     );
     let view = sync::Arc::new(view::View::new(settings.me));
+    if settings.bounds.evacuate.is_some() {
+        view.use_evacuations();
+    }
     let metrics = sync::Arc::new(metrics::Metrics::new());
     let forwarder = run::Forwarder::new(
         view.clone(),
--- a/tests/discovery_stand_in.rs
+++ b/tests/discovery_stand_in.rs
@@ -14,6 +14,7 @@
 const BOUNDS: reader::Bounds = reader::Bounds {
     config_apply: time::Duration::from_secs(6),
     drain: time::Duration::from_secs(6),
+    evacuate: None,
 };
 /// How often an instance checks whether it should read the store.
 const CHECK_PERIOD_US: u64 = 100_000;
--- a/tests/forward_run.rs
+++ b/tests/forward_run.rs
@@ -167,7 +167,7 @@
     view.change_members(|members| members.set_source_members(closed, vec![source, other]));
     let (_seeds, seeds) = watch::channel(Vec::new());
     let bound = time::Duration::from_secs(3);
-    let bounds = reader::Bounds { config_apply: bound, drain: bound };
+    let bounds = reader::Bounds { config_apply: bound, drain: bound, evacuate: None };
     tokio::spawn(subscriber::run(view.clone(), seeds, bounds));
     let lists_other = || {
         let none = address::ActiveMembers::default();
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -16,11 +16,13 @@
 use forward_support::searcher;
 use forward_support::service;
 use forward_support::single;
+use quickcheck::quickcheck;
 use tarragondoor::discovery::members;
 use tarragondoor::discovery::registry;
 use tarragondoor::forward::address;
 use tarragondoor::forward::balancer;
 use tarragondoor::forward::query;
+use tarragondoor::placement::evacuation;
 use tarragondoor::placement::homes;
 use tarragondoor::tenants::tenant;
 
@@ -157,3 +159,124 @@
     assert_eq!(active.addresses("nowhere", &["east".into()]).len(), 2, "nobody is at home");
     assert_eq!(active.addresses("north", &["east".into()]), fronts(&[6]));
 }
+
+fn zones(names: &[&str]) -> Vec<CompactString> {
+    names.iter().map(|name| CompactString::from(*name)).collect()
+}
+
+fn revision(number: u64) -> registry::StoreRevision {
+    registry::StoreRevision(number)
+}
+
+#[test]
+fn searchers_of_evacuated_zones_are_no_candidates_until_the_evacuation_is_taken_back() {
+    let mut balancer = balancer();
+    balancer.set_evacuated(zones(&[NEAR, FAR]));
+    assert_eq!(balancer.evacuated_count(), 4);
+    assert_eq!(candidates(&mut balancer, &homes::Homes::Any), ["a-2", "a-5"]);
+    let from_us = |balancer: &balancer::Balancer| {
+        balancer.accepts_from_us(START_US, &service("a"), &[], 0, &only(&["north"]))
+    };
+    assert_eq!(from_us(&balancer), None, "refused at once");
+    balancer.sync(0, &records(), distance, |_| 40);
+    assert_eq!(balancer.evacuated_count(), 4, "new records do not end an evacuation");
+    balancer.set_evacuated(Vec::new());
+    assert_eq!(from_us(&balancer), Some(START_US));
+    assert_eq!(candidates(&mut balancer, &homes::Homes::Any).len(), 6);
+}
+
+/// Guards against a removal that is lost, and against an older state that replaces a newer one. Each instance gets complete
+/// reads, watches and states of other instances in any order.
+#[test]
+fn the_known_zones_are_those_at_their_revision() {
+    fn property(history: Vec<(u8, bool)>, offers: Vec<(u8, u8, u8)>) -> bool {
+        let state_at = |number: u64| {
+            let mut state: Vec<CompactString> = Vec::new();
+            for (zone, is_evacuated) in history.iter().take(number as usize) {
+                let zone = CompactString::from(format!("z-{}", zone % 4));
+                state.retain(|known| *known != zone);
+                if *is_evacuated {
+                    state.push(zone);
+                }
+            }
+            state.sort();
+            state
+        };
+        let last = history.len() as u64;
+        let mut known = evacuation::Zones::default();
+        let mut known_number = 0;
+        for (kind, from, to) in offers {
+            let number = u64::from(to) % (last + 1);
+            known = match kind % 3 {
+                0 => {
+                    let read = evacuation::Read::Complete(state_at(number));
+                    known.apply(0, revision(number), &read, false)
+                }
+                1 => {
+                    // A watch starts from a revision that is known.
+                    let from = u64::from(from) % (known_number + 1);
+                    let mut changes = Vec::new();
+                    for (zone, is_evacuated) in &history[from as usize..number.max(from) as usize] {
+                        let zone = CompactString::from(format!("z-{}", zone % 4));
+                        changes.push(evacuation::Change { zone, is_evacuated: *is_evacuated });
+                    }
+                    let read = evacuation::Read::Changes(changes);
+                    known.apply(0, revision(number.max(from)), &read, false)
+                }
+                _ => {
+                    let snapshot = evacuation::Snapshot {
+                        as_of: revision(number),
+                        zones: state_at(number),
+                        held: Vec::new(),
+                    };
+                    known.receive(0, &snapshot, false)
+                }
+            };
+            known_number = (0..=last).find(|at| revision(*at) == known.as_of()).unwrap();
+            if known.effective(0) != state_at(known_number) {
+                return false;
+            }
+        }
+        true
+    }
+    quickcheck(property as fn(Vec<(u8, bool)>, Vec<(u8, u8, u8)>) -> bool);
+}
+
+/// Guards against requests to a zone whose evacuation was lost with the store's older copy.
+#[test]
+fn an_evacuation_that_is_missing_after_a_restore_is_kept_for_a_while() {
+    const HOLD_US: u64 = registry::REMOVAL_HOLD_US;
+    let complete = |names: &[&str]| evacuation::Read::Complete(zones(names));
+    let change = |zone: &str, is_evacuated: bool| {
+        evacuation::Read::Changes(vec![evacuation::Change { zone: zone.into(), is_evacuated }])
+    };
+    let before = evacuation::Zones::default().apply(0, revision(5), &complete(&["a", "b"]), false);
+    let restored = before.apply(1_000, revision(6), &complete(&["b"]), true);
+    assert_eq!(restored.effective(HOLD_US + 999), ["a", "b"]);
+    assert_eq!(restored.effective(HOLD_US + 1_000), ["b"]);
+    let ordinary = before.apply(1_000, revision(6), &complete(&["b"]), false);
+    assert_eq!(ordinary.effective(1_000), ["b"], "the operator has removed it");
+
+    let again = restored.apply(2_000, revision(7), &change("a", true), false);
+    assert_eq!(again.effective(2 * HOLD_US), ["a", "b"], "written again");
+    let removed = restored.apply(2_000, revision(7), &change("a", false), false);
+    assert_eq!(removed.effective(2_000), ["b"], "removed by the operator since");
+    let read_again = restored.apply(2_000, revision(7), &complete(&["b"]), false);
+    assert_eq!(read_again.effective(2_000), ["a", "b"], "a second read does not end it");
+
+    let late = evacuation::Zones::default().receive(0, &restored.snapshot(HOLD_US), false);
+    assert_eq!(late.effective(999), ["a", "b"], "an instance that starts meanwhile keeps it too");
+    assert_eq!(late.effective(1_000), ["b"]);
+}
+
+#[test]
+fn differing_zones_are_requested_only_if_they_are_newer() {
+    let read = |names: &[&str]| evacuation::Read::Complete(zones(names));
+    let mut known = evacuation::Zones::default().apply(0, revision(5), &read(&["a"]), false);
+    let newer = known.apply(0, revision(9), &read(&["b"]), false);
+    assert!(known.compare(newer.summary()));
+    assert!(!newer.clone().compare(known.summary()));
+    let same = known.apply(0, revision(7), &read(&["a"]), false);
+    assert!(!known.compare(same.summary()));
+    assert_eq!(known.as_of(), revision(7), "confirmed as of the newer revision");
+}
