Limit what cold searchers get from all instances together

A searcher that has just started, or says that it is slow, crashes when it gets many more requests a second than its service states. The limit is now divided among a few holders, chosen for each searcher by rendezvous hashing among the active instances of its region. Each sends at a steady rate, without bursts. Who is missing for less than a minute keeps its part, so that the sides of a partition do not divide the limit anew, and an instance that has never known of another sends nothing. Renewals that change only the estimated end of the cold time are not published. Services without a limit, and their entries, are treated as before.

--- a/src/discovery/reader.rs
+++ b/src/discovery/reader.rs
@@ -10,6 +10,7 @@
 use crate::events::Event;
 use crate::forward::metrics;
 use crate::locks;
+use crate::placement::cold;
 use std::net;
 use std::sync;
 use std::time;
@@ -260,8 +261,10 @@
                 None => self.read_all().await,
             };
             match result {
-                Ok(read) => {
+                Ok(mut read) => {
                     backoff = BACKOFF_MIN;
+                    let table = self.view.table();
+                    cold::strip(table.as_ref().map(|table| &*table.config), &mut read.changes);
                     let view_age_us = self.view.ages().searchers_us;
                     let read_age_us = self.view.read_age_us();
                     let failing_us = self.record_answer(Call::Searchers);
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -4,6 +4,7 @@
 //! the change, and the highest revision wins, so reports may arrive in any order and more than once.
 
 use crate::ids;
+use crate::placement::cold;
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use std::hash::Hash;
@@ -75,6 +76,17 @@
     pub state: SearcherState,
     /// Unix time of its start in milliseconds, 0 if unknown; distinguishes two processes with the same id.
     pub boot_ms: u64,
+    /// Unix time in milliseconds until which it is cold, 0 if it is not. It is an estimate of the instance that read the
+    /// entry.
+    pub cold_until_ms: u64,
+}
+
+impl Searcher {
+    /// Whether nothing has changed but the estimate of the end of the cold time.
+    fn is_same(&self, other: &Self) -> bool {
+        let same_end = Self { cold_until_ms: other.cold_until_ms, ..self.clone() };
+        same_end == *other && cold::is_same_end(self.cold_until_ms, other.cold_until_ms)
+    }
 }
 
 /// The state of a searcher id at a store revision: a report, or a record of the registry.
@@ -111,7 +123,11 @@
                     return false;
                 }
                 record.revision = change.revision;
-                if record.searcher == change.searcher {
+                let is_same = match (&record.searcher, &change.searcher) {
+                    (Some(known), Some(searcher)) => known.is_same(searcher),
+                    (known, searcher) => known == searcher,
+                };
+                if is_same {
                     return false;
                 }
                 record.searcher = change.searcher.clone();
@@ -158,14 +174,15 @@
         &self.records
     }
 
-    /// Hashes the searchers without their revisions: these change whenever a searcher renews its entry, so they
-    /// differ between readers.
+    /// Hashes the searchers without their revisions and the ends of their cold times: these change whenever a searcher
+    /// renews its entry, so they differ between readers.
     pub fn digest(&self) -> Digest {
         let mut hasher = xxh3::Xxh3::new();
         for record in &self.records {
-            if record.searcher.is_some() {
+            if let Some(searcher) = &record.searcher {
+                let cold_until_ms = u64::from(searcher.cold_until_ms > 0);
                 record.id.hash(&mut hasher);
-                record.searcher.hash(&mut hasher);
+                Searcher { cold_until_ms, ..searcher.clone() }.hash(&mut hasher);
             }
         }
         Digest(hasher.finish())
--- a/src/events.rs
+++ b/src/events.rs
@@ -80,6 +80,8 @@
     UnknownKey = 508,
     /// The zones whose searchers get no requests changed.
     EvacuationChanged = 530,
+    /// A searcher of a service that limits cold searchers became cold, or ceased to be.
+    SearcherCold = 531,
 }
 
 impl Event {
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -404,6 +404,10 @@
             }
         }
     }
+    let cold_ms: Option<u64> = header::text(&head.headers, &names.cold_remaining_ms).parse().ok();
+    if let Some(cold_ms) = cold_ms {
+        endpoint.set_cold_until_us(clock::now_us().saturating_add(cold_ms.saturating_mul(1_000)));
+    }
     if head.status != http::StatusCode::SERVICE_UNAVAILABLE {
         return;
     }
--- a/src/forward/balancer.rs
+++ b/src/forward/balancer.rs
@@ -6,9 +6,12 @@
 //! that was slow or failing is tried again.
 
 use crate::discovery::registry;
+use crate::event;
+use crate::events::Event;
 use crate::forward::endpoint;
 use crate::forward::limit;
 use crate::ids;
+use crate::placement::cold;
 use crate::placement::homes;
 use compact_str::CompactString;
 use std::sync;
@@ -94,6 +97,9 @@
     /// The id and start time of each send in flight.
     in_flight: Vec<(u64, u64)>,
     next_send_id: u64,
+    /// When the last request was sent. A new searcher counts as if one had just been sent: an earlier process of this
+    /// instance may have.
+    last_send_us: u64,
 }
 
 impl Stats {
@@ -109,6 +115,7 @@
             bucket: None,
             in_flight: Vec::new(),
             next_send_id: 0,
+            last_send_us: now_us,
         }
     }
 
@@ -162,10 +169,25 @@
     region: CompactString,
     /// Whether its failure domain is evacuated.
     is_evacuated: bool,
+    /// What its entry says of its cold time.
+    cold_entry: cold::Entry,
+    /// How it is limited while it is cold; `None` if it is not.
+    cold_limit: Option<ColdLimit>,
     connections_max: u32,
     stats: Stats,
 }
 
+/// How a searcher is limited while it is cold.
+#[derive(Clone, Copy, Debug)]
+struct ColdLimit {
+    /// Until when it is cold by its entry.
+    until_us: u64,
+    /// This instance's part, in requests per second; `None` if it has none.
+    part_per_s: Option<f64>,
+    /// Whether it was cold when the limits were last computed.
+    was_cold: bool,
+}
+
 /// Identifies a send in flight among those to the same searcher.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SendId(u64);
@@ -211,6 +233,8 @@
     regions: Vec<(CompactString, CompactString)>,
     /// The failure domains whose searchers get no requests, sorted.
     evacuated: Vec<CompactString>,
+    cold_shares: cold::Shares,
+    cold_tolerance: cold::Tolerance,
 }
 
 /// The number of instances that share the searchers' connections.
@@ -263,8 +287,10 @@
                     && entry.endpoint.searcher.service == searcher.service
             });
             let connections_max = connections_max(&searcher.service);
+            let cold_entry =
+                cold::Entry { boot_ms: searcher.boot_ms, cold_until_ms: searcher.cold_until_ms };
             let entry = match known {
-                Some(index) => Entry { connections_max, ..old.swap_remove(index) },
+                Some(index) => Entry { connections_max, cold_entry, ..old.swap_remove(index) },
                 None => {
                     let region = self.region_of(&searcher.domain).into();
                     let distance = distance(&searcher.domain);
@@ -273,6 +299,8 @@
                     Entry {
                         endpoint: sync::Arc::new(endpoint),
                         region,
+                        cold_entry,
+                        cold_limit: None,
                         is_evacuated: self.evacuated.binary_search(&searcher.domain).is_ok(),
                         connections_max,
                         stats: Stats::new(now_us),
@@ -295,6 +323,57 @@
         self.evacuated = zones;
     }
 
+    /// Sets by how much the limits of cold searchers may be exceeded.
+    pub fn set_cold_tolerance(&mut self, tolerance: cold::Tolerance) {
+        self.cold_tolerance = tolerance;
+    }
+
+    /// Records the instances that divide the limits of cold searchers. `me` is this instance, if clients are sent to it.
+    pub fn observe_cold_sharers(
+        &mut self,
+        now_us: u64,
+        me: Option<limit::Sharer>,
+        active: &[limit::Sharer],
+    ) {
+        self.cold_shares.observe(now_us, me, active);
+    }
+
+    /// Computes the limits of cold searchers. `unix_ms` is the Unix time at `now_us`, `rule` the rule of a service.
+    pub fn update_cold_limits(
+        &mut self,
+        now_us: u64,
+        unix_ms: u64,
+        rule: impl Fn(&ids::ServiceName) -> Option<cold::Rule>,
+    ) {
+        for entry in &mut self.entries {
+            let Some(rule) = rule(&entry.endpoint.searcher.service) else {
+                entry.cold_limit = None;
+                continue;
+            };
+            let until_us = rule.cold_until_us(now_us, unix_ms, entry.cold_entry);
+            let id = &entry.endpoint.id;
+            let tolerance = self.cold_tolerance;
+            let part_per_s = self.cold_shares.part_per_s(id, &entry.region, rule.per_s, tolerance);
+            let is_cold = now_us < until_us.max(entry.endpoint.cold_until_us());
+            if is_cold != entry.cold_limit.is_some_and(|limit| limit.was_cold) {
+                event!(
+                    info,
+                    Event::SearcherCold,
+                    searcher = %id,
+                    is_cold,
+                    part_per_s = part_per_s.unwrap_or(0.0)
+                );
+            }
+            entry.cold_limit = Some(ColdLimit { until_us, part_per_s, was_cold: is_cold });
+        }
+    }
+
+    /// Returns the number of searchers that were cold when the limits were last computed.
+    pub fn cold_count(&self) -> usize {
+        let limits = self.entries.iter().filter_map(|entry| entry.cold_limit);
+        limits.filter(|limit| limit.was_cold).count()
+    }
+
     /// Returns the number of searchers that are excluded because their failure domain is evacuated.
     pub fn evacuated_count(&self) -> usize {
         self.entries.iter().filter(|entry| entry.is_evacuated).count()
@@ -379,6 +458,7 @@
         }
         let send_id = entry.stats.next_send_id;
         entry.stats.next_send_id += 1;
+        entry.stats.last_send_us = now_us;
         entry.stats.in_flight.push((send_id, now_us));
         let endpoint = entry.endpoint.clone();
         Choice { endpoint, send_id: SendId(send_id), expected_us: candidate.expected_us }
@@ -452,7 +532,7 @@
 
     /// Returns from when a searcher accepts a request of `priority`, by the pause and the limit that it has named.
     fn accepts_entry_from_us(&self, now_us: u64, entry: &Entry, priority: u8) -> u64 {
-        let from_us = now_us.max(entry.endpoint.paused_until_us());
+        let from_us = now_us.max(entry.endpoint.paused_until_us()).max(cold_from_us(now_us, entry));
         let Some((bucket, rate)) = entry.stats.bucket.zip(self.limit_part(entry)) else {
             return from_us;
         };
@@ -523,6 +603,19 @@
     }
 }
 
+/// Returns from when a searcher accepts a request by its limit while it is cold.
+fn cold_from_us(now_us: u64, entry: &Entry) -> u64 {
+    let Some(limit) = &entry.cold_limit else {
+        return now_us;
+    };
+    let until_us = limit.until_us.max(entry.endpoint.cold_until_us());
+    let from_us = match limit.part_per_s {
+        Some(per_s) => cold::next_us(entry.stats.last_send_us, per_s),
+        None => until_us,
+    };
+    from_us.min(until_us).max(now_us)
+}
+
 /// Whether a request with these home regions may be sent to a searcher at all.
 fn is_usable(entry: &Entry, homes: &homes::Homes) -> bool {
     !entry.endpoint.is_gone() && !entry.is_evacuated && homes.allows(&entry.region)
--- a/src/forward/dialect.rs
+++ b/src/forward/dialect.rs
@@ -28,7 +28,7 @@
     pub tenant: HeaderName,
     /// In a searcher's answer: its load.
     pub load: HeaderName,
-    /// In a searcher's answer to a health check: how much longer it is cold, in milliseconds.
+    /// In a searcher's answer: how much longer it is cold, in milliseconds.
     pub cold_remaining_ms: HeaderName,
     /// In the answer to a gather: the searchers' signatures of its parts.
     pub part_stamps: HeaderName,
--- a/src/forward/endpoint.rs
+++ b/src/forward/endpoint.rs
@@ -71,6 +71,7 @@
     is_misdirected: atomic::AtomicBool,
     is_leaving: atomic::AtomicBool,
     paused_until_us: atomic::AtomicU64,
+    cold_until_us: atomic::AtomicU64,
     limit: sync::Mutex<Option<limit::RequestRate>>,
 }
 
@@ -87,6 +88,7 @@
             is_misdirected: atomic::AtomicBool::new(false),
             is_leaving: atomic::AtomicBool::new(false),
             paused_until_us: atomic::AtomicU64::new(0),
+            cold_until_us: atomic::AtomicU64::new(0),
             limit: sync::Mutex::default(),
         }
     }
@@ -194,6 +196,16 @@
         self.paused_until_us.load(atomic::Ordering::Relaxed)
     }
 
+    /// Sets until when, by [`clock::now_us`], the searcher is cold, as it said in its last answer that states it.
+    pub fn set_cold_until_us(&self, until_us: u64) {
+        self.cold_until_us.store(until_us, atomic::Ordering::Relaxed);
+    }
+
+    /// Until when, by [`clock::now_us`], the searcher is cold by what it said in answers.
+    pub fn cold_until_us(&self) -> u64 {
+        self.cold_until_us.load(atomic::Ordering::Relaxed)
+    }
+
     /// Sets the limit that the searcher named in its last answer; `None` if it named none.
     pub fn set_limit(&self, limit: Option<limit::RequestRate>) {
         let previous = std::mem::replace(&mut *locks::lock(&self.limit), limit);
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -21,6 +21,7 @@
 use crate::forward::shutdown;
 use crate::ids;
 use crate::locks;
+use crate::placement::cold;
 use compact_str::CompactString;
 use std::sync;
 use std::time;
@@ -207,26 +208,41 @@
             let service = table.as_ref().and_then(|table| table.config.service(service));
             service.map_or(CONNECTIONS_DEFAULT, |service| service.connections_max)
         };
+        let cold_rule = |service: &ids::ServiceName| {
+            table.as_ref()?.config.service(service).and_then(cold::Rule::of)
+        };
         let now_us = clock::now_us();
         self.view.with_registry(|registry| {
             let mut shared = locks::lock(&self.shared);
             shared.balancer.sync(now_us, registry.records(), distance, connections_max);
+            // Before anything is sent to new searchers, which may be cold.
+            shared.balancer.update_cold_limits(now_us, cold::unix_ms(), cold_rule);
         });
-        self.sync_placement();
         self.sync_members();
     }
 
     /// Applies the rules that exclude searchers and that may change with time.
     fn sync_placement(&self) {
         let evacuated = self.view.evacuated_zones();
+        let table = self.view.table();
+        let rule = |service: &ids::ServiceName| {
+            table.as_ref()?.config.service(service).and_then(cold::Rule::of)
+        };
         let mut shared = locks::lock(&self.shared);
         shared.balancer.set_evacuated(evacuated);
+        shared.balancer.update_cold_limits(clock::now_us(), cold::unix_ms(), rule);
+    }
+
+    /// Sets by how much the limits of cold searchers may be exceeded.
+    pub fn set_cold_tolerance(&self, tolerance: cold::Tolerance) {
+        locks::lock(&self.shared).balancer.set_cold_tolerance(tolerance);
     }
 
     /// Sets the gauges of placement.
     pub fn update_placement_metrics(&self) {
-        let evacuated_count = locks::lock(&self.shared).balancer.evacuated_count();
-        self.metrics.placement.set_evacuated(evacuated_count);
+        let shared = locks::lock(&self.shared);
+        self.metrics.placement.set_evacuated(shared.balancer.evacuated_count());
+        self.metrics.placement.set_cold(shared.balancer.cold_count());
     }
 
     /// Drops the statistics of routes that are not in the current configuration.
@@ -271,7 +287,10 @@
         );
         let me = instance_counts.is_active.then_some(me);
         let counted = shared.budgets.retained_active_count();
+        shared.balancer.observe_cold_sharers(clock::now_us(), me.clone(), &sharers);
         shared.balancer.set_sharers(limit::Sharers::new(me, sharers, counted));
+        drop(shared);
+        self.sync_placement();
     }
 
     /// Returns the instances that clients are sent to.
--- a/src/node.rs
+++ b/src/node.rs
@@ -15,6 +15,7 @@
 use crate::forward::metrics;
 use crate::forward::run;
 use crate::forward::server;
+use crate::placement::cold;
 use compact_str::CompactString;
 use error_stack::ResultExt as _;
 use std::net;
@@ -44,6 +45,8 @@
     pub link: Option<pacer::ByteRate>,
     /// The budget of hedges and retries.
     pub budget: budget::Rule,
+    /// By how much the limits of cold searchers may be exceeded.
+    pub cold: cold::Tolerance,
     /// The time from the request to stop until the process is killed.
     pub grace: time::Duration,
 }
@@ -124,6 +127,7 @@
         settings.budget,
         metrics.clone(),
     );
+    forwarder.set_cold_tolerance(settings.cold);
     let forwarder = sync::Arc::new(forwarder);
     let server = sync::Arc::new(server::Server::new(
         view.clone(),
--- a/src/placement/metrics.rs
+++ b/src/placement/metrics.rs
@@ -9,6 +9,7 @@
 pub struct Metrics {
     no_home_searcher: counter::Counter,
     evacuated_searchers: gauge::Gauge,
+    cold_searchers: gauge::Gauge,
 }
 
 impl Metrics {
@@ -24,6 +25,16 @@
             "Searchers that get no requests because their zone is evacuated",
             self.evacuated_searchers.clone(),
         );
+        registry.register(
+            "searchers_cold",
+            "Searchers that are cold and get a limited number of requests",
+            self.cold_searchers.clone(),
+        );
+    }
+
+    /// Sets the number of cold searchers of services that limit them.
+    pub fn set_cold(&self, count: usize) {
+        self.cold_searchers.set(count as i64);
     }
 
     /// Sets the number of searchers that are excluded by evacuations.
--- a/tests/forward_support/mod.rs
+++ b/tests/forward_support/mod.rs
@@ -32,6 +32,7 @@
         slots: 4,
         state: registry::SearcherState::Ready,
         boot_ms: 1,
+        cold_until_ms: 0,
     }
 }
 
