--- a/src/explain.rs
+++ b/src/explain.rs
@@ -11,6 +11,10 @@
     name: String,
     request: String,
     route: String,
+    /// Empty if the request belongs to none.
+    tenant: String,
+    /// Whether a newer configuration may have been due.
+    is_overdue: bool,
     outcome: String,
     status: u16,
     latency_ms: f64,
@@ -69,7 +73,8 @@
     );
     let summary = match (line.name.as_str(), line.outcome.as_str()) {
         ("request_served", _) => {
-            return format!("Served whole and in time, {:.0} ms.", line.latency_ms);
+            let latency_ms = line.latency_ms;
+            return format!("Served whole and in time, {latency_ms:.0} ms{}.", of_tenant(line));
         }
         ("no_route", _) => {
             return format!(
@@ -77,6 +82,13 @@
                 line.config, line.host, line.path
             );
         }
+        ("unknown_key", _) => {
+            let status = if line.is_overdue { 503 } else { 401 };
+            return format!(
+                "Refused with status {status}: no tenant of configuration {} has its key.",
+                line.config
+            );
+        }
         ("send_failed", _) => return "A send to a searcher failed or was rejected.".to_owned(),
         (_, "refused") => "Refused with status 503 before any searcher ran it.".to_owned(),
         (_, "failed") => format!(
@@ -105,7 +117,16 @@
         }
         (name, outcome) => format!("{name} {outcome}"),
     };
-    format!("{summary} {} second sends on route {}. {basis}", line.extra_sends, line.route)
+    let tenant = of_tenant(line);
+    format!("{summary} {} second sends on route {}{tenant}. {basis}", line.extra_sends, line.route)
+}
+
+/// Names the tenant of a request, if it belongs to one.
+fn of_tenant(line: &Line) -> String {
+    match line.tenant.as_str() {
+        "" => String::new(),
+        tenant => format!(" of tenant {tenant}"),
+    }
 }
 
 /// Explains the items of the field `troubles`: `service:searcher:reason:outcome:time` for a send without a
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -3,6 +3,7 @@
 use crate::discovery::view;
 use crate::forward::endpoint;
 use crate::forward::query;
+use crate::tenants;
 use prometheus_client::encoding;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter;
@@ -73,6 +74,7 @@
     members: gauge::Gauge,
     client_connections: gauge::Gauge,
     searcher_connections: gauge::Gauge,
+    tenants: tenants::metrics::Metrics,
 }
 
 impl Metrics {
@@ -98,6 +100,7 @@
             members: gauge::Gauge::default(),
             client_connections: gauge::Gauge::default(),
             searcher_connections: gauge::Gauge::default(),
+            tenants: tenants::metrics::Metrics::default(),
         };
         metrics.register();
         metrics
@@ -105,6 +108,7 @@
 
     fn register(&mut self) {
         let registry = &mut self.registry;
+        self.tenants.register(registry);
         registry.register("requests", "Requests of clients by outcome", self.requests.clone());
         registry.register("latency_seconds", "Time to the answer", self.latency.clone());
         registry.register(
@@ -176,6 +180,11 @@
         }
     }
 
+    /// Returns the metrics by tenant.
+    pub fn tenants(&self) -> &tenants::metrics::Metrics {
+        &self.tenants
+    }
+
     /// Counts a send to a searcher.
     pub fn record_send(&self, reason: query::Reason, distance: endpoint::Distance) {
         let labels = SendLabels { reason: reason.to_string(), distance: distance.to_string() };
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -16,6 +16,7 @@
 use crate::forward::shutdown;
 use crate::ids;
 use crate::rate_limit;
+use crate::tenants;
 use crate::tenants::authentication;
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -48,6 +49,8 @@
 /// The most log lines per second for all other requests: several times the number of requests that fail on the
 /// smallest instance in its worst seconds.
 const TROUBLED_LOG_LINES_PER_S: u32 = 300;
+/// The most log lines per second for requests without a known key: a sample, since anybody can send them.
+const UNKNOWN_KEY_LOG_LINES_PER_S: u32 = 5;
 /// The path on which metrics are served.
 pub const METRICS_PATH: &str = "/metrics";
 
@@ -62,6 +65,7 @@
     connection_count: atomic::AtomicUsize,
     served_log_limit: rate_limit::RateLimit,
     troubled_log_limit: rate_limit::RateLimit,
+    unknown_key_log_limit: rate_limit::RateLimit,
 }
 
 /// A request that was answered, for the log and the metrics.
@@ -70,6 +74,8 @@
     route: CompactString,
     /// Empty if the request belongs to none.
     tenant: CompactString,
+    /// Whether the configuration has tenants.
+    has_tenants: bool,
     priority: u8,
     target_ms: u64,
     /// The number of parts of the query.
@@ -103,6 +109,7 @@
             connection_count: atomic::AtomicUsize::new(0),
             served_log_limit: rate_limit::RateLimit::new(SERVED_LOG_LINES_PER_S),
             troubled_log_limit: rate_limit::RateLimit::new(TROUBLED_LOG_LINES_PER_S),
+            unknown_key_log_limit: rate_limit::RateLimit::new(UNKNOWN_KEY_LOG_LINES_PER_S),
         }
     }
 
@@ -225,7 +232,8 @@
             &names.credential,
         );
         if caller == authentication::Caller::Unknown {
-            return Ok(self.close_if_stopping(self.refuse_unknown_key(&id, route)));
+            let refusal = self.refuse_unknown_key(&id, route, table.config.version);
+            return Ok(self.close_if_stopping(refusal));
         }
         let limits = &table.config.limits;
         let max_bytes = limits.body_max_bytes.max(BODY_LIMIT_MIN_BYTES) as usize;
@@ -280,6 +288,7 @@
             id,
             route: route.name.clone(),
             tenant: caller.tenant_name().unwrap_or_default().into(),
+            has_tenants: caller != authentication::Caller::NoTenants,
             priority,
             target_ms: route.target_latency_ms,
             parts: route.target.parts(),
@@ -301,16 +310,23 @@
         response::refuse(retry_after::unready_ms(waiting_us))
     }
 
-    /// The response to a request without a known key. A configuration that is not known here may have the key.
-    fn refuse_unknown_key(&self, id: &str, route: &config::Route) -> response::Response {
+    /// The response to a request without a key that `version` knows. A configuration that is not known here may have it.
+    fn refuse_unknown_key(
+        &self,
+        id: &str,
+        route: &config::Route,
+        version: config::ConfigVersion,
+    ) -> response::Response {
         let is_overdue = self.view.is_config_overdue(self.config_apply);
-        if let Some(left_out) = self.troubled_log_limit.allow(clock::now_us()) {
+        let tenants = self.forwarder.metrics().tenants();
+        tenants.record("", tenants::metrics::UNAUTHORIZED);
+        if let Some(left_out) = self.unknown_key_log_limit.allow(clock::now_us()) {
             event!(
                 info,
                 Event::UnknownKey,
                 request = %id,
                 route = %route.name,
-                config = self.view.config_version().0,
+                config = version.0,
                 is_overdue,
                 left_out
             );
@@ -381,6 +397,9 @@
         let missing = if is_success { record.parts - report.answered_count } else { 0 };
         let latency_s = latency_ms / 1_000.0;
         self.forwarder.metrics().record_answer(record.priority, outcome, latency_s, missing);
+        if record.has_tenants {
+            self.forwarder.metrics().tenants().record(&record.tenant, outcome);
+        }
         let ages = self.view.ages();
         let now_us = clock::now_us();
         if is_complete_and_in_time {
@@ -392,6 +411,7 @@
                 Event::RequestServed,
                 request = %record.id,
                 route = %record.route,
+                tenant = %record.tenant,
                 latency_ms,
                 config = record.config.0,
                 left_out
--- a/src/tenants.rs
+++ b/src/tenants.rs
@@ -2,4 +2,5 @@
 
 pub mod authentication;
 pub mod credentials;
+pub mod metrics;
 pub mod tenant;
--- /dev/null
+++ b/tests/tenant_credentials.rs
@@ -0,0 +1,172 @@
+//! Tests of tenants' keys and priorities, without a network.
+
+mod forward_support;
+
+use compact_str::CompactString;
+use forward_support::configuration;
+use forward_support::route;
+use quickcheck::Arbitrary as _;
+use std::collections::HashMap;
+use tarragondoor::discovery::config;
+use tarragondoor::discovery::feed;
+use tarragondoor::tenants::authentication;
+use tarragondoor::tenants::authentication::Caller;
+use tarragondoor::tenants::credentials;
+use tarragondoor::tenants::metrics;
+use tarragondoor::tenants::tenant;
+
+fn tenant(name: &str, priority: u8, keys: &[&str]) -> tenant::Tenant {
+    tenant::Tenant {
+        name: name.into(),
+        credentials: keys.iter().map(|key| tenant::Credential(CompactString::from(*key))).collect(),
+        priority,
+        quota: None,
+        home_regions: Vec::new(),
+    }
+}
+
+fn with_tenants(version: u64, tenants: Vec<tenant::Tenant>) -> config::Config {
+    let exempt = config::Route { is_auth_exempt: true, ..route("open", "h", "/open/") };
+    let routes = vec![route("closed", "h", "/"), exempt];
+    config::Config { tenants, ..configuration(version, routes) }
+}
+
+/// Guards against lookups that find another tenant's key, or none, among many.
+#[test]
+fn the_index_finds_what_a_map_finds_among_10_000_keys() {
+    let mut tenants = Vec::new();
+    let mut map = HashMap::new();
+    for number in 0..2_500_usize {
+        let keys: Vec<String> = (0..4).map(|key| format!("{:x}", number * 4 + key)).collect();
+        let names: Vec<&str> = keys.iter().map(String::as_str).collect();
+        tenants.push(tenant(&format!("t{number}"), 0, &names));
+        map.extend(keys.into_iter().map(|key| (key.into_bytes(), number)));
+    }
+    let index = credentials::Index::new(&tenants);
+    assert_eq!(credentials::Index::new(&[]).tenant(b"a"), None);
+    assert_eq!(credentials::Index::default().tenant(b"a"), None);
+    for (key, number) in &map {
+        assert_eq!(index.tenant(key), Some(credentials::TenantIndex(*number)));
+    }
+    let mut source = quickcheck::Gen::new(16);
+    for _ in 0..5_000 {
+        let near = format!("{:x}", u32::arbitrary(&mut source) % 20_000).into_bytes();
+        for key in [near, Vec::arbitrary(&mut source)] {
+            let found = index.tenant(&key).map(|found| found.0);
+            assert_eq!(found, map.get(&key).copied(), "{key:?}");
+        }
+    }
+}
+
+/// Guards against requests that run without exactly one known key.
+#[test]
+fn only_a_single_known_key_names_a_tenant() {
+    let config = with_tenants(1, vec![tenant("a", 0, &["k1", "k2"]), tenant("b", 1, &["k3"])]);
+    let index = credentials::Index::new(&config.tenants);
+    let name = http::HeaderName::from_static("x-key");
+    let caller = |route: usize, keys: &[&str]| {
+        let mut headers = http::HeaderMap::new();
+        for key in keys {
+            headers.append(name.clone(), http::HeaderValue::from_str(key).unwrap());
+        }
+        let route = &config.routes[route];
+        authentication::authenticate(&config, &index, route, &headers, &name)
+    };
+    assert_eq!(caller(0, &["k2"]), Caller::Tenant(&config.tenants[0]));
+    assert_eq!(caller(0, &["k3"]).tenant_name(), Some("b"));
+    for keys in [&[][..], &["k9"], &[""], &["k1", "k1"], &["k1,k1"], &[" k1"], &["K1"], &["k"]] {
+        assert_eq!(caller(0, keys), Caller::Unknown, "{keys:?}");
+    }
+    assert_eq!(caller(1, &["k9"]), Caller::Exempt);
+    let without = with_tenants(1, Vec::new());
+    let headers = http::HeaderMap::new();
+    let caller =
+        authentication::authenticate(&without, &index, &without.routes[0], &headers, &name);
+    assert_eq!(caller, Caller::NoTenants);
+    let urgent = config::Route { priority: 7, ..route("late", "h", "/") };
+    assert_eq!(caller.priority(&urgent), 7, "without tenants the route's priority is as before");
+}
+
+/// Guards against a route of an urgent tenant that comes after one of a less urgent tenant.
+#[test]
+fn the_priority_of_tenants_goes_before_that_of_routes() {
+    let mut order = Vec::new();
+    for tenant_priority in [0, 1, 2, 84] {
+        for route_priority in 0..3 {
+            order.push(tenant::request_priority(tenant_priority, route_priority));
+        }
+    }
+    assert!(order.is_sorted_by(|a, b| a < b), "{order:?}");
+    assert_eq!(tenant::request_priority(0, 9), 2);
+    assert_eq!(tenant::request_priority(255, 2), 255);
+}
+
+/// Guards against instances that keep a withdrawn key because they got the change and not the configuration.
+#[test]
+fn a_delta_adds_moves_and_withdraws_keys() {
+    let old = with_tenants(
+        1,
+        vec![tenant("a", 0, &["k1", "k2"]), tenant("b", 1, &["k3"]), tenant("c", 0, &["k4"])],
+    );
+    let new = with_tenants(2, vec![tenant("a", 0, &["k1"]), tenant("b", 1, &["k2", "k3"])]);
+    for (from, to) in [(&old, &new), (&new, &old)] {
+        let delta = config::ConfigDelta::between(from, to);
+        assert_eq!(delta.apply(from).as_ref(), Some(to));
+    }
+    let back = config::Config { tenants: Vec::new(), ..old.clone() };
+    let newer = config::Config { version: config::ConfigVersion(3), ..back };
+    assert_eq!(config::ConfigDelta::between(&old, &newer).apply(&old), Some(newer));
+}
+
+/// Guards against keys in logs: anything may be printed with its `Debug` output.
+#[test]
+fn debug_output_contains_no_key() {
+    let config = with_tenants(1, vec![tenant("a", 0, &["sesame"])]);
+    let delta = config::ConfigDelta::between(&with_tenants(0, Vec::new()), &config);
+    let index = credentials::Index::new(&config.tenants);
+    let updates = (feed::Update::ConfigDelta(delta.into()), feed::Update::Config(config.into()));
+    let text = format!("{updates:?} {index:?}");
+    assert!(text.contains("\"a\"") && !text.contains("sesame"), "{text}");
+}
+
+/// Guards against metrics that grow with the number of tenants.
+#[test]
+fn only_the_tenants_with_the_most_requests_have_series_of_their_own() {
+    let metrics = metrics::Metrics::default();
+    let mut registry = prometheus_client::registry::Registry::default();
+    metrics.register(&mut registry);
+    for round in 0..30 {
+        for number in 0..500 {
+            metrics.record(&format!("small-{number}"), "in_time");
+            if number % 10 == 0 {
+                metrics.record("large", if round == 0 { "late" } else { "in_time" });
+            }
+        }
+    }
+    metrics.record("", metrics::UNAUTHORIZED);
+    let mut text = String::new();
+    prometheus_client::encoding::text::encode(&mut text, &registry).unwrap();
+    let series: Vec<&str> = text.lines().filter(|line| !line.starts_with('#')).collect();
+    assert!(series.len() <= 20 * 2 + 3, "{text}");
+    assert!(text.contains("tenant=\"large\",outcome=\"in_time\""), "{text}");
+    assert!(text.contains("tenant=\"(others)\",outcome=\"unauthorized\"} 1"), "{text}");
+}
+
+/// Prints how long a lookup takes: `cargo test --release --test tenant_credentials -- --ignored --nocapture`.
+#[test]
+#[ignore = "a measurement"]
+fn lookup_time() {
+    for count in [75_usize, 10_000] {
+        let keys: Vec<String> =
+            (0..count).map(|number| format!("k22x{:032x}", number * 7_919)).collect();
+        let tenants: Vec<tenant::Tenant> =
+            keys.iter().map(|key| tenant(&format!("t{key}"), 0, &[key])).collect();
+        let index = credentials::Index::new(&tenants);
+        let start = std::time::Instant::now();
+        let mut found = 0;
+        for number in 0..2_000_000_usize {
+            found += usize::from(index.tenant(keys[number * 31 % count].as_bytes()).is_some());
+        }
+        println!("{count} tenants: {:?} per lookup", start.elapsed() / found as u32);
+    }
+}
