Queue parts in fair order for busy searchers

Parts that found no room were polled without an order, so that a burst of long requests held all slots and urgent ones, which may wait only briefly, were refused most. With tenants in the configuration, parts now wait in one queue for each service: those served much less than others first, then by rank, class of the deadline, and fairly among tenants by expected work. Room is kept free for more urgent ranks. What can't start in time is refused on arrival, with the time from which it could. Once all searchers of a service have rejected requests, sends in flight to it are limited, so that less urgent requests give way first. Without tenants the decisions are as before.

--- a/src/events.rs
+++ b/src/events.rs
@@ -78,6 +78,10 @@
     RefusedByShutdown = 507,
     /// A request has no key that a tenant holds.
     UnknownKey = 508,
+    /// Waiting requests are put in fair order from now on, or no longer.
+    FairOrderChanged = 560,
+    /// All searchers of a service were full; what this instance sends to them is limited for a while.
+    ServiceFull = 561,
 }
 
 impl Event {
--- a/src/forward/balancer.rs
+++ b/src/forward/balancer.rs
@@ -6,6 +6,7 @@
 //! that was slow or failing is tried again.
 
 use crate::discovery::registry;
+use crate::fair_order::gate;
 use crate::forward::endpoint;
 use crate::forward::limit;
 use crate::ids;
@@ -341,6 +342,32 @@
         earliest_us
     }
 
+    /// Returns how busy the searchers of `service` that are not in `tried` are.
+    pub fn occupancy(
+        &self,
+        now_us: u64,
+        service: &ids::ServiceName,
+        tried: &[CompactString],
+        priority: u8,
+    ) -> gate::Occupancy {
+        let mut occupancy = gate::Occupancy { are_all_full: true, ..gate::Occupancy::default() };
+        for entry in self.service_entries(service) {
+            let in_flight = entry.stats.in_flight.len();
+            occupancy.in_flight += in_flight;
+            if entry.endpoint.is_gone() || tried.contains(&entry.endpoint.id) {
+                continue;
+            }
+            occupancy.searchers += 1;
+            occupancy.are_all_full &= now_us < entry.stats.backoff_until_us;
+            if now_us >= self.accepts_entry_from_us(now_us, entry, priority) {
+                let connections_cap =
+                    self.connections_cap(entry).min(entry.endpoint.connections_allowed(now_us));
+                occupancy.room += connections_cap.saturating_sub(in_flight);
+            }
+        }
+        occupancy
+    }
+
     /// Records the start of a send to a searcher found just before.
     pub fn start_send(&mut self, now_us: u64, candidate: Candidate) -> Choice {
         let limit_part = self.limit_part(&self.entries[candidate.index]);
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -1,6 +1,7 @@
 //! The metrics of an instance that forwards requests.
 
 use crate::discovery::view;
+use crate::fair_order;
 use crate::forward::endpoint;
 use crate::forward::query;
 use crate::tenants;
@@ -75,6 +76,7 @@
     client_connections: gauge::Gauge,
     searcher_connections: gauge::Gauge,
     tenants: tenants::metrics::Metrics,
+    fair_order: fair_order::metrics::Metrics,
 }
 
 impl Metrics {
@@ -101,6 +103,7 @@
             client_connections: gauge::Gauge::default(),
             searcher_connections: gauge::Gauge::default(),
             tenants: tenants::metrics::Metrics::default(),
+            fair_order: fair_order::metrics::Metrics::new(),
         };
         metrics.register();
         metrics
@@ -109,6 +112,7 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         self.tenants.register(registry);
+        self.fair_order.register(registry);
         registry.register("requests", "Requests of clients by outcome", self.requests.clone());
         registry.register("latency_seconds", "Time to the answer", self.latency.clone());
         registry.register(
@@ -185,6 +189,11 @@
         &self.tenants
     }
 
+    /// Returns the metrics of fair queueing.
+    pub fn fair_order(&self) -> &fair_order::metrics::Metrics {
+        &self.fair_order
+    }
+
     /// Counts a send to a searcher.
     pub fn record_send(&self, reason: query::Reason, distance: endpoint::Distance) {
         let labels = SendLabels { reason: reason.to_string(), distance: distance.to_string() };
--- a/src/forward/query.rs
+++ b/src/forward/query.rs
@@ -8,6 +8,8 @@
 //! answered; from its target latency on, as soon as the minimum number of parts is; and immediately once that
 //! minimum can no longer be reached.
 
+use crate::fair_order::gate;
+use crate::fair_order::queue;
 use crate::forward::balancer;
 use crate::forward::budget;
 use crate::forward::endpoint;
@@ -32,8 +34,6 @@
 const DEADLINE_MARGIN_US: u64 = 8_000;
 /// A first send adds the target latency divided by this to the cost of searchers in other regions.
 const CROSS_REGION_PENALTY_DIVISOR: u64 = 8;
-/// A part waits for a busy searcher for at most the target latency divided by this.
-const WAIT_DIVISOR: u64 = 4;
 /// The interval at which a part that waits for a busy searcher is retried.
 const WAIT_POLL_US: u64 = 4_000;
 /// How many rejected sends a part may have beyond its attempts.
@@ -44,6 +44,8 @@
 pub struct Spec {
     /// The route's name.
     pub route: CompactString,
+    /// The tenant's name; empty if the request belongs to none.
+    pub tenant: CompactString,
     /// The priority; 0 is the most urgent.
     pub priority: u8,
     /// Whether the request may run more than once.
@@ -130,6 +132,8 @@
     pub budgets: &'a mut budget::Budgets,
     /// The latencies of each route.
     pub latencies: &'a latency::Latencies,
+    /// The order of waiting parts; `None` if the configuration has no tenants.
+    pub fair_order: Option<&'a mut gate::Gate>,
 }
 
 /// Why a send was made.
@@ -183,9 +187,13 @@
     }
 }
 
+/// The state of one part.
 #[derive(Clone, Debug, Default)]
-struct Part {
-    tried: Vec<CompactString>,
+pub struct Part {
+    /// The searchers that it was sent to.
+    pub tried: Vec<CompactString>,
+    /// Its place among the waiting parts of its service, while it waits in order.
+    pub ticket: Option<queue::Ticket>,
     /// The number of sends in flight.
     in_flight: usize,
     /// The number of sends that may have run, those in flight included.
@@ -203,7 +211,7 @@
 
 /// One request in progress.
 pub struct Query {
-    spec: Spec,
+    spec: sync::Arc<Spec>,
     parts: Vec<Part>,
     sends: Vec<SendRecord>,
     may_have_run: bool,
@@ -216,7 +224,8 @@
 
 impl Query {
     /// Creates a query; [`Query::start`] starts it.
-    pub fn new(spec: Spec) -> Self {
+    pub fn new(spec: impl Into<sync::Arc<Spec>>) -> Self {
+        let spec = spec.into();
         let parts = vec![Part::default(); spec.services.len()];
         Self {
             spec,
@@ -230,7 +239,7 @@
     }
 
     /// Returns what the query has to do.
-    pub fn spec(&self) -> &Spec {
+    pub fn spec(&self) -> &sync::Arc<Spec> {
         &self.spec
     }
 
@@ -267,12 +276,6 @@
         deadline_us.min(self.ends_by_us)
     }
 
-    /// Returns the time until which a part waits for a busy searcher. It is well before the target latency,
-    /// so that a client whose request is refused can still be served in time by another instance.
-    fn wait_until_us(&self) -> u64 {
-        self.spec.arrived_us + self.spec.target_us / WAIT_DIVISOR
-    }
-
     /// Returns the time from which a gather may complete with some of its parts missing.
     fn partial_from_us(&self) -> u64 {
         let margin_us = self.spec.margin_us.min(self.spec.target_us / MARGIN_DIVISOR);
@@ -283,24 +286,19 @@
     /// Starts the query. Returns a send for each part, except those that wait for a busy searcher or have
     /// none; no sends if too few parts have a searcher.
     pub fn start(&mut self, now_us: u64, context: &mut Context<'_>) -> Vec<Send> {
-        let priority = self.spec.priority;
         let mut accepting_from_us = Vec::with_capacity(self.spec.services.len());
         for service in &self.spec.services {
-            context.budgets.record_request(now_us, service, priority);
-            accepting_from_us.extend(context.balancer.accepts_from_us(
-                now_us,
-                service,
-                &[],
-                priority,
-            ));
+            context.budgets.record_request(now_us, service, self.spec.priority);
+            accepting_from_us.extend(context.record_arrival(now_us, &self.spec, service));
         }
         accepting_from_us.sort_unstable();
         let enough_from_us = accepting_from_us.get(self.spec.parts_min.saturating_sub(1)).copied();
-        if enough_from_us.is_none_or(|from_us| from_us > self.wait_until_us().max(now_us)) {
+        if enough_from_us.is_none_or(|from_us| from_us > self.spec.wait_until_us().max(now_us)) {
             let failure = match enough_from_us {
                 Some(_) => PartFailure::Busy,
                 None => PartFailure::NoSearcher,
             };
+            context.record_refusal(enough_from_us);
             self.accepted_from_us = enough_from_us;
             for part in &mut self.parts {
                 part.failed = Some(failure);
@@ -384,15 +382,15 @@
             Ok(send) => return Some(send),
             Err(PartFailure::Busy) => {
                 let service = &self.spec.services[part_index];
-                let tried = &self.parts[part_index].tried;
-                let from_us =
-                    context.balancer.accepts_from_us(now_us, service, tried, self.spec.priority);
-                let wait_until_us = self.wait_until_us();
+                let part = &mut self.parts[part_index];
+                let from_us = context.accepts_from_us(now_us, &self.spec, service, &part.tried);
+                let wait_until_us = self.spec.wait_until_us();
                 if now_us < wait_until_us && from_us.is_some_and(|us| us <= wait_until_us) {
-                    self.parts[part_index].waiting = Some(reason);
+                    part.waiting = Some(reason);
                 } else {
+                    context.leave(service, part.ticket.take());
                     self.accepted_from_us = self.accepted_from_us.max(from_us);
-                    self.parts[part_index].failed = Some(PartFailure::Busy);
+                    part.failed = Some(PartFailure::Busy);
                 }
             }
             Err(failure) => self.parts[part_index].failed = Some(failure),
@@ -520,6 +518,10 @@
     ) -> Result<Send, PartFailure> {
         let median_processing_us = context.latencies.median_us(&self.spec.route);
         let part = &mut self.parts[part_index];
+        let service = &self.spec.services[part_index];
+        if !context.takes_turn(now_us, &self.spec, service, part, reason) {
+            return Err(PartFailure::Busy);
+        }
         let cross_region_penalty_us = match reason {
             Reason::First => self.spec.target_us / CROSS_REGION_PENALTY_DIVISOR,
             Reason::Hedge | Reason::Retry | Reason::Reconnect => 0,
@@ -527,13 +529,11 @@
         let priority = self.spec.priority;
         let profile =
             balancer::RequestProfile { median_processing_us, priority, cross_region_penalty_us };
-        let service = &self.spec.services[part_index];
         let found = context.balancer.find(now_us, service, &part.tried, profile);
         let candidate = match found {
             Some(candidate) => candidate,
             None => {
-                let accepts =
-                    context.balancer.accepts_from_us(now_us, service, &part.tried, priority);
+                let accepts = context.accepts_from_us(now_us, &self.spec, service, &part.tried);
                 return Err(accepts.map_or(PartFailure::NoSearcher, |_| PartFailure::Busy));
             }
         };
@@ -541,7 +541,7 @@
         if is_extra && !context.budgets.spend(now_us, service, self.spec.priority) {
             return Err(PartFailure::NoBudget);
         }
-        let choice = context.balancer.start_send(now_us, candidate);
+        let choice = context.start_send(now_us, &self.spec, service, part, candidate);
         part.tried.push(choice.endpoint.id.clone());
         part.in_flight += 1;
         part.possibly_run += 1;
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -6,6 +6,7 @@
 use crate::discovery::view;
 use crate::event;
 use crate::events::Event;
+use crate::fair_order::gate;
 use crate::forward::address;
 use crate::forward::answer_buffer;
 use crate::forward::answer_delay;
@@ -60,6 +61,8 @@
     budgets: budget::Budgets,
     latencies: latency::Latencies,
     answer_delay: answer_delay::Estimator,
+    /// `None` if the configuration has no tenants.
+    fair_order: Option<gate::Gate>,
 }
 
 /// A completed query, for the response, the log and the metrics.
@@ -135,6 +138,7 @@
             budgets: budget::Budgets::new(rule),
             latencies: latency::Latencies::default(),
             answer_delay: answer_delay::Estimator::default(),
+            fair_order: None,
         };
         let active = arc_swap::ArcSwap::from_pointee(address::ActiveMembers::default());
         let answer_buffer = sync::Arc::new(answer_buffer::AnswerBuffer::new(ANSWERS_MAX_BYTES));
@@ -224,6 +228,7 @@
         names.sort_unstable();
         let mut shared = locks::lock(&self.shared);
         shared.latencies.retain_routes(&names);
+        gate::apply_config(&mut shared.fair_order, &table.config, self.metrics.fair_order());
         drop(shared);
         self.view.with_client_wait(|client_wait| client_wait.retain_routes(&names));
     }
@@ -339,8 +344,9 @@
 
     fn decide<T>(&self, decide: impl FnOnce(u64, &mut query::Context<'_>) -> T) -> T {
         let mut shared = locks::lock(&self.shared);
-        let Shared { balancer, budgets, latencies, .. } = &mut *shared;
-        decide(clock::now_us(), &mut query::Context { balancer, budgets, latencies })
+        let Shared { balancer, budgets, latencies, fair_order, .. } = &mut *shared;
+        let fair_order = fair_order.as_mut();
+        decide(clock::now_us(), &mut query::Context { balancer, budgets, latencies, fair_order })
     }
 
     fn spawn_sends(
@@ -355,8 +361,7 @@
             self.metrics.record_send(record.reason, record.endpoint.distance);
             let task = SendTask {
                 forwarder: self.clone(),
-                route: query.spec().route.clone(),
-                is_idempotent: query.spec().is_idempotent,
+                spec: query.spec().clone(),
                 outgoing: outgoing.clone(),
                 send,
             };
@@ -368,8 +373,7 @@
 /// One send. It runs in its own task, since it may outlive its query.
 struct SendTask {
     forwarder: sync::Arc<Forwarder>,
-    route: CompactString,
-    is_idempotent: bool,
+    spec: sync::Arc<query::Spec>,
     outgoing: sync::Arc<attempt::OutgoingRequest>,
     send: query::Send,
 }
@@ -381,7 +385,7 @@
         let headers = &self.forwarder.dialect.headers;
         let abandoned = async {
             end_sender.closed().await;
-            if !self.is_idempotent {
+            if !self.spec.is_idempotent {
                 return std::future::pending().await;
             }
             tokio::time::sleep(ABANDONED_SEND_TIMEOUT).await;
@@ -429,10 +433,17 @@
             median_processing_us,
             report,
         );
+        let Shared { balancer, fair_order, .. } = &mut *shared;
+        if let Some(gate) = fair_order {
+            let class = self.spec.class(median_processing_us);
+            let service = &endpoint.searcher.service;
+            let occupancy = balancer.occupancy(now_us, service, &[], self.spec.priority);
+            gate.record_end(now_us, service, &class, report.into(), occupancy);
+        }
         if let balancer::Report::Answered { latency_us } = report {
             let processing_us = latency_us.saturating_sub(endpoint.distance.round_trip_us());
             if endpoint.distance != endpoint::Distance::OtherRegion {
-                shared.latencies.record(&self.route, processing_us);
+                shared.latencies.record(&self.spec.route, processing_us);
             }
         }
     }
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -256,8 +256,9 @@
         });
         let margin_us = self.forwarder.answer_margin_us();
         let priority = caller.priority(route);
-        let spec =
-            query::Spec { waited_us, margin_us, priority, ..spec(route, arrived_us, timeout_us) };
+        let tenant = CompactString::from(caller.tenant_name().unwrap_or_default());
+        let spec = spec(route, arrived_us, timeout_us);
+        let spec = query::Spec { waited_us, margin_us, priority, tenant: tenant.clone(), ..spec };
         if self.is_refused_by_shutdown(&id, &spec) {
             return Ok(self.close_if_stopping(response::refuse(shutdown::RETRY_AFTER_MS)));
         }
@@ -287,7 +288,7 @@
         let record = RequestRecord {
             id,
             route: route.name.clone(),
-            tenant: caller.tenant_name().unwrap_or_default().into(),
+            tenant,
             has_tenants: caller != authentication::Caller::NoTenants,
             priority,
             target_ms: route.target_latency_ms,
@@ -580,6 +581,7 @@
     };
     query::Spec {
         route: route.name.clone(),
+        tenant: CompactString::default(),
         priority: route.priority,
         is_idempotent: route.repeatability == config::Repeatability::Idempotent,
         attempts: route.attempts.max(1),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod estimate;
 pub mod events;
 pub mod explain;
+pub mod fair_order;
 pub mod forward;
 pub mod frame;
 pub mod gossip;
--- a/tests/forward_support/mod.rs
+++ b/tests/forward_support/mod.rs
@@ -8,6 +8,7 @@
 use tarragondoor::discovery::config;
 use tarragondoor::discovery::members;
 use tarragondoor::discovery::registry;
+use tarragondoor::fair_order::gate;
 use tarragondoor::forward::balancer;
 use tarragondoor::forward::budget;
 use tarragondoor::forward::endpoint;
@@ -78,13 +79,19 @@
     pub balancer: balancer::Balancer,
     pub budgets: budget::Budgets,
     pub latencies: latency::Latencies,
+    pub fair_order: Option<gate::Gate>,
 }
 
 impl Fixture {
     pub fn new(services: &[&str]) -> Self {
         let mut budgets = budget::Budgets::new(rule());
         budgets.set_active_instances(0, 1, true);
-        Self { balancer: balancer(services), budgets, latencies: latency::Latencies::default() }
+        Self {
+            balancer: balancer(services),
+            budgets,
+            latencies: latency::Latencies::default(),
+            fair_order: None,
+        }
     }
 
     pub fn context(&mut self) -> query::Context<'_> {
@@ -92,6 +99,7 @@
             balancer: &mut self.balancer,
             budgets: &mut self.budgets,
             latencies: &self.latencies,
+            fair_order: self.fair_order.as_mut(),
         }
     }
 }
@@ -102,6 +110,7 @@
 pub fn gather(services: &[&str], parts_min: usize) -> query::Spec {
     query::Spec {
         route: "browse".into(),
+        tenant: CompactString::default(),
         priority: 1,
         is_idempotent: true,
         attempts: 2,
