Skip the order of parts while searchers have plenty of room

Each part determined its place and decayed all counts, although it was sent at once. Counts are now decayed in steps of 50 ms (needs: 10 ms), and no place is determined while nothing waits and most of the room is free.

--- a/src/fair_order/gate.rs
+++ b/src/fair_order/gate.rs
@@ -12,6 +12,8 @@
 
 /// The half-life of the work that is offered in each rank.
 const NEED_HALF_LIFE_US: f64 = 1_000_000.0;
+/// Needs are decayed in steps of at least this, which is much shorter than the half-life.
+const NEED_STEP_US: u64 = 10_000;
 /// How much more than the mean need of more urgent ranks is kept free for them.
 const NEED_MARGIN: f64 = 1.3;
 /// The largest part of a service's room that is kept free for more urgent ranks.
@@ -78,10 +80,12 @@
     }
 
     fn offer(&mut self, now_us: u64, work_us: u64) {
-        let age_us = now_us.saturating_sub(self.updated_us) as f64;
-        self.offered_us *= (-age_us / NEED_HALF_LIFE_US).exp2();
+        let age_us = now_us.saturating_sub(self.updated_us);
+        if age_us >= NEED_STEP_US {
+            self.offered_us *= (-(age_us as f64) / NEED_HALF_LIFE_US).exp2();
+            self.updated_us = now_us;
+        }
         self.offered_us += work_us as f64;
-        self.updated_us = now_us;
     }
 }
 
@@ -115,6 +119,15 @@
         &mut self.ranks[at]
     }
 
+    /// Whether there is so much room that no order is needed: nothing waits, and what is kept free for more urgent ranks
+    /// is not used either.
+    fn is_idle(&mut self, now_us: u64, occupancy: Occupancy) -> bool {
+        let total = (occupancy.in_flight + occupancy.room) as f64;
+        self.queue.is_empty()
+            && self.window.limit(now_us).is_none()
+            && occupancy.room as f64 > total * RESERVED_SHARE_MAX
+    }
+
     /// Returns how many more parts may be sent now of those at `place` and before it.
     fn room(&mut self, now_us: u64, place: &queue::Place, occupancy: Occupancy) -> usize {
         let mut room = occupancy.room;
@@ -170,6 +183,9 @@
         occupancy: Occupancy,
     ) -> u64 {
         let service = service_of(&mut self.services, name);
+        if service.is_idle(now_us, occupancy) {
+            return now_us;
+        }
         let place = service.place(class);
         let (position, ahead_us) = service.queue.ahead(&place);
         if service.room(now_us, &place, occupancy) > position {
@@ -188,6 +204,9 @@
         occupancy: Occupancy,
     ) -> bool {
         let service = service_of(&mut self.services, name);
+        if service.is_idle(now_us, occupancy) {
+            return true;
+        }
         let place = ticket.as_ref().map_or_else(|| service.place(class), |ticket| ticket.place);
         if service.room(now_us, &place, occupancy) > service.queue.position(&place) {
             return true;
--- a/src/fair_order/shares.rs
+++ b/src/fair_order/shares.rs
@@ -4,6 +4,8 @@
 
 /// The half-life of the counts: long enough that tenants with a request in some seconds are judged by several.
 const HALF_LIFE_US: f64 = 20_000_000.0;
+/// Counts are decayed in steps of at least this, which is much shorter than the half-life.
+const DECAY_STEP_US: u64 = 50_000;
 /// A name is behind if it is served less than this share as often as all. The requirement is a quarter; the rest is a
 /// margin, since other instances and the noise of small numbers count too.
 const BEHIND_SHARE: f64 = 0.4;
@@ -21,11 +23,14 @@
 
 impl Counts {
     fn decay(&mut self, now_us: u64) {
-        let age_us = now_us.saturating_sub(self.updated_us) as f64;
-        let factor = (-age_us / HALF_LIFE_US).exp2();
+        let age_us = now_us.saturating_sub(self.updated_us);
+        if age_us < DECAY_STEP_US {
+            return;
+        }
+        let factor = (-(age_us as f64) / HALF_LIFE_US).exp2();
         self.offered *= factor;
         self.served *= factor;
-        self.updated_us = self.updated_us.max(now_us);
+        self.updated_us = now_us;
     }
 }
 
