--- a/src/events.rs
+++ b/src/events.rs
@@ -84,6 +84,10 @@
     EvacuationChanged = 530,
     /// A searcher of a service that limits cold searchers became cold, or ceased to be.
     SearcherCold = 531,
+    /// Waiting requests are put in fair order from now on, or no longer.
+    FairOrderChanged = 560,
+    /// All searchers of a service were full; what this instance sends to them is limited for a while.
+    ServiceFull = 561,
 }
 
 impl Event {
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -1,9 +1,11 @@
 //! The metrics of an instance that forwards requests.
 
 use crate::discovery::view;
+use crate::fair_order;
 use crate::forward::endpoint;
 use crate::forward::query;
 use crate::placement;
+use crate::tenants;
 use prometheus_client::encoding;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter;
@@ -76,6 +78,8 @@
     searcher_connections: gauge::Gauge,
     /// The metrics of placement.
     pub placement: placement::metrics::Metrics,
+    tenants: tenants::metrics::Metrics,
+    fair_order: fair_order::metrics::Metrics,
 }
 
 impl Metrics {
@@ -102,6 +106,8 @@
             client_connections: gauge::Gauge::default(),
             searcher_connections: gauge::Gauge::default(),
             placement: placement::metrics::Metrics::default(),
+            tenants: tenants::metrics::Metrics::default(),
+            fair_order: fair_order::metrics::Metrics::new(),
         };
         metrics.register();
         metrics
@@ -110,6 +116,8 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         self.placement.register(registry);
+        self.tenants.register(registry);
+        self.fair_order.register(registry);
         registry.register("requests", "Requests of clients by outcome", self.requests.clone());
         registry.register("latency_seconds", "Time to the answer", self.latency.clone());
         registry.register(
@@ -181,6 +189,16 @@
         }
     }
 
+    /// Returns the metrics by tenant.
+    pub fn tenants(&self) -> &tenants::metrics::Metrics {
+        &self.tenants
+    }
+
+    /// Returns the metrics of fair queueing.
+    pub fn fair_order(&self) -> &fair_order::metrics::Metrics {
+        &self.fair_order
+    }
+
     /// Counts a send to a searcher.
     pub fn record_send(&self, reason: query::Reason, distance: endpoint::Distance) {
         let labels = SendLabels { reason: reason.to_string(), distance: distance.to_string() };
