Bound the memory and the connections of untrusted clients

Cause: the body of each request had a bound, all of them together had none. A body in chunks of one byte held 32 B a byte and the read buffers that the chunks were part of. A body that had stopped arriving was waited for without end, the configuration's headerTimeoutMs was not applied, and nothing bounded the number of connections.

Change: forward::admission. One memory budget from limits.memoryMb, with shares for searchers' answers (30 %, at most 48 MB as before), for bodies (15 %) and for connections (20 %). A body reserves its memory before it is read and is copied into one buffer. Without room, stalled bodies give way, or the request gets 503 before it is sent anywhere. A body that stalls for 5 s gets 408. Connections of clients are bounded by limits.maxFds and the memory; at the limit the one that has waited longest for its client gives way. A request without a body takes no lock. The buffer for a request head holds maxHeaderBytes and 4 KiB in place of twice maxHeaderBytes.

The processor time per request was not measured.

--- a/src/discovery/config.rs
+++ b/src/discovery/config.rs
@@ -143,12 +143,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// The maximum size of a request head (request line and headers). The server does not apply it exactly: its
-    /// buffer for the head holds twice this size, and at least 8 KiB.
+    /// buffer for the head holds 4 KiB more, and at least 8 KiB.
     pub header_max_bytes: u64,
     /// The maximum size of a request body. The server accepts 256 KiB even if this is lower.
     pub body_max_bytes: u64,
-    /// The longest time that a client may take to send a request head. It is not applied: the server limits this
-    /// time to `idle_timeout_ms`.
+    /// The longest time that a client may take to send a request head, from its first byte. It is checked twice a
+    /// second.
     pub header_timeout_ms: u64,
     /// The longest time that a client's connection may be idle.
     pub idle_timeout_ms: u64,
--- a/src/events.rs
+++ b/src/events.rs
@@ -78,6 +78,10 @@
     RefusedByShutdown = 507,
     /// A request has no key that a tenant holds.
     UnknownKey = 508,
+    /// The body of a client's request was not read.
+    BodyRefused = 550,
+    /// A connection of a client was closed at the limit.
+    ConnectionLimit = 551,
 }
 
 impl Event {
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -5,6 +5,7 @@
 //! makes one send.
 
 pub mod address;
+pub mod admission;
 pub mod answer_buffer;
 pub mod answer_delay;
 pub mod attempt;
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -39,6 +39,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AdmissionLabels {
+    outcome: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StoreLabels {
     call: &'static str,
@@ -63,6 +68,8 @@
     sends: Counters<SendLabels>,
     ends: Counters<EndLabels>,
     hedges_denied: counter::Counter,
+    admission: Counters<AdmissionLabels>,
+    body_bytes: gauge::Gauge,
     store_calls: Counters<StoreLabels>,
     members_delay: histogram::Histogram,
     feed_sent_bytes: Counters<FeedLabels>,
@@ -88,6 +95,8 @@
             sends: Counters::default(),
             ends: Counters::default(),
             hedges_denied: counter::Counter::default(),
+            admission: Counters::default(),
+            body_bytes: gauge::Gauge::default(),
             store_calls: Counters::default(),
             feed_sent_bytes: Counters::default(),
             members_delay: histogram::Histogram::new(LATENCY_BOUNDS_S.iter().copied()),
@@ -119,6 +128,16 @@
             "Hedges that the budget did not allow",
             self.hedges_denied.clone(),
         );
+        registry.register(
+            "admission",
+            "Bodies and connections of clients that were turned away, by reason",
+            self.admission.clone(),
+        );
+        registry.register(
+            "body_bytes",
+            "Bytes held for bodies of clients' requests",
+            self.body_bytes.clone(),
+        );
         registry.register(
             "members_delay_seconds",
             "Time from a change of the members until a subscriber is sent the new list",
@@ -192,6 +211,16 @@
         self.hedges_denied.inc_by(count);
     }
 
+    /// Counts a body or a connection of a client that was turned away.
+    pub fn record_admission(&self, outcome: &'static str) {
+        self.admission.get_or_create(&AdmissionLabels { outcome }).inc();
+    }
+
+    /// Sets how many bytes are held for bodies of clients' requests.
+    pub fn set_body_bytes(&self, byte_count: usize) {
+        self.body_bytes.set(byte_count as i64);
+    }
+
     /// Counts a call to the platform's store.
     pub fn record_store_call(&self, call: &'static str, outcome: &'static str) {
         self.store_calls.get_or_create(&StoreLabels { call, outcome }).inc();
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -7,6 +7,7 @@
 use crate::event;
 use crate::events::Event;
 use crate::forward::address;
+use crate::forward::admission::memory;
 use crate::forward::answer_buffer;
 use crate::forward::answer_delay;
 use crate::forward::attempt;
@@ -38,9 +39,6 @@
 /// The connections that a searcher is assumed to accept if its service is not in the configuration.
 const CONNECTIONS_DEFAULT: u32 = 32;
 
-/// The most bytes of answers that are being received at the same time: a third of the memory of a small instance.
-const ANSWERS_MAX_BYTES: usize = 48 << 20;
-
 /// Forwards requests to searchers; holds the state shared by all queries.
 pub struct Forwarder {
     view: sync::Arc<view::View>,
@@ -137,7 +135,9 @@
             answer_delay: answer_delay::Estimator::default(),
         };
         let active = arc_swap::ArcSwap::from_pointee(address::ActiveMembers::default());
-        let answer_buffer = sync::Arc::new(answer_buffer::AnswerBuffer::new(ANSWERS_MAX_BYTES));
+        let answer_buffer = sync::Arc::new(answer_buffer::AnswerBuffer::new(
+            memory::Budget::new(None).answers_bytes,
+        ));
         Self {
             view,
             dialect,
@@ -259,6 +259,13 @@
         shared.balancer.set_sharers(limit::Sharers::new(me, sharers, counted));
     }
 
+    /// Bounds the memory for answers that are being received.
+    #[must_use]
+    pub fn with_answers_max(mut self, bytes_max: usize) -> Self {
+        self.answer_buffer = sync::Arc::new(answer_buffer::AnswerBuffer::new(bytes_max));
+        self
+    }
+
     /// Returns the instances that clients are sent to.
     pub fn active(&self) -> sync::Arc<address::ActiveMembers> {
         self.active.load_full()
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -6,6 +6,8 @@
 use crate::discovery::view;
 use crate::event;
 use crate::events::Event;
+use crate::forward::admission;
+use crate::forward::admission::connections;
 use crate::forward::attempt;
 use crate::forward::dialect;
 use crate::forward::header;
@@ -19,7 +21,6 @@
 use crate::tenants::authentication;
 use bytes::Bytes;
 use compact_str::CompactString;
-use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use hyper::server::conn::http1;
 use hyper::service;
@@ -42,6 +43,10 @@
 const BODY_LIMIT_MIN_BYTES: u64 = 256 << 10;
 /// The smallest buffer that hyper accepts for a request's head.
 const HEAD_BUFFER_MIN_BYTES: usize = 8 << 10;
+/// The size of the largest head while no configuration is known.
+const HEAD_DEFAULT_BYTES: usize = 16 << 10;
+/// The room in that buffer besides the largest head that is allowed.
+const HEAD_BUFFER_MARGIN_BYTES: usize = 4 << 10;
 
 /// The most log lines per second for requests that were answered completely and in time: a sample.
 const SERVED_LOG_LINES_PER_S: u32 = 5;
@@ -58,6 +63,7 @@
     phase: watch::Sender<shutdown::Phase>,
     /// The time within which a configuration has to take effect.
     config_apply: time::Duration,
+    admission: admission::Admission,
     started_us: u64,
     connection_count: atomic::AtomicUsize,
     served_log_limit: rate_limit::RateLimit,
@@ -93,9 +99,11 @@
         view: sync::Arc<view::View>,
         forwarder: sync::Arc<run::Forwarder>,
         config_apply: time::Duration,
+        admission: admission::Admission,
     ) -> Self {
         Self {
             config_apply,
+            admission,
             view,
             forwarder,
             phase: watch::Sender::new(shutdown::Phase::Serving),
@@ -127,6 +135,11 @@
     /// Serves client requests until [`shutdown::Phase::Closing`].
     pub async fn serve_clients(self: sync::Arc<Self>, listener: TcpListener) {
         let mut phase = self.phase.subscribe();
+        let server = self.clone();
+        let head_timeout_ms =
+            move || server.view.table().map(|table| table.config.limits.header_timeout_ms);
+        let server = self.clone();
+        tokio::spawn(async move { server.admission.close_stalled_heads(head_timeout_ms).await });
         loop {
             // Biased, so that connections that clients have already opened are accepted before the listener closes.
             let accepted = tokio::select! {
@@ -136,7 +149,9 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    tokio::spawn(self.clone().serve_client(stream));
+                    if let Some(open) = self.admission.admit(&self.admission.clients).await {
+                        tokio::spawn(self.clone().serve_client(stream, open));
+                    }
                 }
                 Err(error) => {
                     event!(warn, Event::AcceptFailed, %error, port = "front");
@@ -146,7 +161,7 @@
         }
     }
 
-    async fn serve_client(self: sync::Arc<Self>, stream: TcpStream) {
+    async fn serve_client(self: sync::Arc<Self>, stream: TcpStream, open: connections::Open) {
         if let Err(error) = stream.set_nodelay(true) {
             tracing::debug!(%error, "could not set TCP_NODELAY");
         }
@@ -154,22 +169,29 @@
         let limits = self.view.table().map(|table| table.config.limits);
         let idle_ms = limits.map_or(IDLE_TIMEOUT_DEFAULT_MS, |limits| limits.idle_timeout_ms);
         let server = self.clone();
+        let handled = open.clone();
         let service = service::service_fn(move |request| {
             let server = server.clone();
-            async move { server.handle_request(request).await }
+            let open = handled.clone();
+            async move {
+                let _request = open.start_request();
+                server.handle_request(request, &open).await
+            }
         });
         let mut builder = http1::Builder::new();
         builder.timer(TokioTimer::new());
         builder.header_read_timeout(time::Duration::from_millis(idle_ms));
-        if let Some(limits) = limits {
-            builder.max_buf_size((limits.header_max_bytes as usize * 2).max(HEAD_BUFFER_MIN_BYTES));
-        }
+        let head_bytes =
+            limits.map_or(HEAD_DEFAULT_BYTES, |limits| limits.header_max_bytes as usize);
+        builder.max_buf_size((head_bytes + HEAD_BUFFER_MARGIN_BYTES).max(HEAD_BUFFER_MIN_BYTES));
+        let stream = connections::Watched::new(stream, open.clone());
         let mut connection = Box::pin(builder.serve_connection(TokioIo::new(stream), service));
         let mut phase = self.phase.subscribe();
         // Biased, so that a request that has arrived is read before an idle connection is closed.
         let served = tokio::select! {
             biased;
             served = connection.as_mut() => served,
+            () = open.wait_for_closing() => Ok(()),
             () = wait_for_closing(&mut phase) => {
                 connection.as_mut().graceful_shutdown();
                 connection.as_mut().await
@@ -184,6 +206,7 @@
     async fn handle_request(
         self: &sync::Arc<Self>,
         request: http::Request<hyper::body::Incoming>,
+        open: &connections::Open,
     ) -> Result<response::Response, AbortConnection> {
         let arrived_us = clock::now_us();
         let Some(table) = self.view.table().filter(|_| self.view.is_complete()) else {
@@ -229,16 +252,12 @@
         }
         let limits = &table.config.limits;
         let max_bytes = limits.body_max_bytes.max(BODY_LIMIT_MIN_BYTES) as usize;
-        let body = match http_body_util::Limited::new(body, max_bytes).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-                return Ok(
-                    self.close_if_stopping(response::status(http::StatusCode::PAYLOAD_TOO_LARGE))
-                );
-            }
-            Err(error) => {
-                tracing::debug!(request = %id, %error, "failed to read the request body");
-                return Err(AbortConnection);
+        let body = admission::body::read(body, max_bytes, &self.admission.bodies, open).await;
+        let body = match body {
+            Ok(body) => body,
+            Err(failure) => {
+                let response = self.admission.refuse(&id, &failure).ok_or(AbortConnection)?;
+                return Ok(self.close_if_stopping(response));
             }
         };
         let deadline_ms: Option<u64> = header::text(&head.headers, &names.deadline_ms).parse().ok();
@@ -427,7 +446,7 @@
     /// Answers clients' requests for the addresses to connect to, until the process ends.
     pub async fn serve_directory(self: sync::Arc<Self>, listener: TcpListener) {
         let server = self.clone();
-        serve_by_uri(listener, "directory", move |uri| server.directory(uri)).await;
+        serve_by_uri(listener, "directory", Some(self), move |uri| server.directory(uri)).await;
     }
 
     fn directory(&self, uri: &http::Uri) -> response::Response {
@@ -449,7 +468,7 @@
     /// Serves the metrics until the process ends.
     pub async fn serve_metrics(self: sync::Arc<Self>, listener: TcpListener) {
         let server = self.clone();
-        serve_by_uri(listener, "metrics", move |uri| match uri.path() {
+        serve_by_uri(listener, "metrics", None, move |uri| match uri.path() {
             METRICS_PATH => server.metrics(),
             _ => response::status(http::StatusCode::NOT_FOUND),
         })
@@ -459,6 +478,7 @@
     fn metrics(&self) -> response::Response {
         let metrics = self.forwarder.metrics();
         let searcher_connections = self.forwarder.connection_count();
+        metrics.set_body_bytes(self.admission.bodies.used_bytes());
         match metrics.render(&self.view, self.connection_count(), searcher_connections) {
             Ok(text) => {
                 let mut response = http::Response::new(Full::new(Bytes::from(text)));
@@ -476,7 +496,7 @@
     /// Answers readiness checks until the process ends.
     pub async fn serve_readiness(self: sync::Arc<Self>, listener: TcpListener) {
         let server = self.clone();
-        serve_by_uri(listener, "ready", move |uri| {
+        serve_by_uri(listener, "ready", None, move |uri| {
             if uri.path() != server.forwarder.dialect().readiness_path {
                 return response::status(http::StatusCode::NOT_FOUND);
             }
@@ -496,10 +516,12 @@
     let _ = phase.wait_for(|phase| matches!(phase, shutdown::Phase::Closing { .. })).await;
 }
 
-/// Serves requests that are answered at once from their URI alone.
+/// Serves requests that are answered at once from their URI alone. `directory` is the server whose limit of directory
+/// connections applies.
 async fn serve_by_uri(
     listener: TcpListener,
     port: &'static str,
+    directory: Option<sync::Arc<Server>>,
     answer: impl Fn(&http::Uri) -> response::Response + Send + Sync + 'static,
 ) {
     let answer = sync::Arc::new(answer);
@@ -512,6 +534,13 @@
                 continue;
             }
         };
+        let open = match &directory {
+            None => None,
+            Some(server) => match server.admission.admit(&server.admission.directory).await {
+                Some(open) => Some(open),
+                None => continue,
+            },
+        };
         let answer = answer.clone();
         let service = service::service_fn(move |request: http::Request<hyper::body::Incoming>| {
             let response = answer(request.uri());
@@ -521,7 +550,18 @@
             let mut builder = http1::Builder::new();
             builder.timer(TokioTimer::new());
             builder.header_read_timeout(time::Duration::from_millis(IDLE_TIMEOUT_DEFAULT_MS));
-            let served = builder.serve_connection(TokioIo::new(stream), service).await;
+            let connection = builder.serve_connection(TokioIo::new(stream), service);
+            let closing = async {
+                match &open {
+                    Some(open) => open.wait_for_closing().await,
+                    None => std::future::pending().await,
+                }
+            };
+            let served = tokio::select! {
+                biased;
+                served = connection => served,
+                () = closing => Ok(()),
+            };
             if let Err(error) = served {
                 tracing::debug!(%error, port, "connection ended with an error");
             }
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,6 +10,8 @@
 use crate::discovery::view;
 use crate::event;
 use crate::events::Event;
+use crate::forward::admission;
+use crate::forward::admission::memory;
 use crate::forward::budget;
 use crate::forward::dialect;
 use crate::forward::metrics;
@@ -42,6 +44,8 @@
     pub renewal_period: Option<time::Duration>,
     /// The rate of the instance's link; `None` if it is not known.
     pub link: Option<pacer::ByteRate>,
+    /// The memory and the descriptors that the process may use.
+    pub machine: memory::Machine,
     /// The budget of hedges and retries.
     pub budget: budget::Rule,
     /// The time from the request to stop until the process is killed.
@@ -121,11 +125,13 @@
         settings.budget,
         metrics.clone(),
     );
-    let forwarder = sync::Arc::new(forwarder);
+    let budget = memory::Budget::new(settings.machine.memory_bytes);
+    let forwarder = sync::Arc::new(forwarder.with_answers_max(budget.answers_bytes));
     let server = sync::Arc::new(server::Server::new(
         view.clone(),
         forwarder.clone(),
         settings.bounds.config_apply,
+        admission::Admission::new(settings.machine, metrics.clone()),
     ));
 
     let listen = settings.listen;
--- /dev/null
+++ b/tests/admission.rs
@@ -0,0 +1,155 @@
+//! What a process lets untrusted clients make it hold: shares of the memory, bodies and connections.
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use http_body_util::Full;
+use std::sync;
+use tarragondoor::forward::admission::body;
+use tarragondoor::forward::admission::connections;
+use tarragondoor::forward::admission::memory;
+
+const SECOND_US: u64 = 1_000_000;
+const POOL_BYTES: usize = 1 << 20;
+const LARGE_BYTES: usize = 256 << 10;
+
+fn pool() -> sync::Arc<memory::Pool> {
+    sync::Arc::new(memory::Pool::new(POOL_BYTES))
+}
+
+fn open() -> connections::Open {
+    let limit = sync::Arc::new(connections::Limit::new(1));
+    match limit.admit(0) {
+        connections::Admitted::Free(open) => open,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn machines_of_160_mb_and_more_have_48_mb_for_answers_as_before() {
+    let answers_mb = [64, 112, 160, 260, 512].map(|memory_mb: u64| {
+        memory::Budget::new(Some(memory_mb << 20)).answers_bytes as f64 / f64::from(1 << 20)
+    });
+    assert_eq!(answers_mb.map(|mb| mb.round() as u64), [19, 34, 48, 48, 48]);
+    assert_eq!(memory::Budget::new(None).answers_bytes, 48 << 20);
+}
+
+/// Guards against shares that are larger than the machine.
+#[test]
+fn the_shares_leave_a_third_of_the_memory_to_the_process() {
+    for memory_mb in [64, 112, 160, 512_u64] {
+        let budget = memory::Budget::new(Some(memory_mb << 20));
+        let shares = budget.answers_bytes + budget.bodies_bytes + budget.connections_bytes;
+        assert!(shares as f64 <= (memory_mb << 20) as f64 * 0.67, "{budget:?}");
+    }
+}
+
+/// Guards against large bodies that leave no memory for ordinary ones.
+#[test]
+fn large_bodies_leave_room_for_small_ones() {
+    let pool = pool();
+    let mut large = Vec::new();
+    loop {
+        let mut held = pool.start_body(0);
+        if !held.grow(0, LARGE_BYTES) {
+            break;
+        }
+        large.push(held);
+    }
+    assert_eq!(large.len(), 3);
+    assert!(pool.start_body(0).grow(0, memory::SMALL_BODY_BYTES));
+    drop(large);
+    assert_eq!(pool.used_bytes(), 0);
+}
+
+/// Guards against a crowd of stalled bodies that keeps all others out, and against bodies that arrive slowly giving way.
+#[test]
+fn the_body_that_has_stalled_longest_gives_way_and_one_that_arrives_does_not() {
+    let pool = pool();
+    let mut bodies = Vec::new();
+    for started_us in [2, 1, 3].map(|seconds| seconds * SECOND_US) {
+        let mut held = pool.start_body(started_us);
+        assert!(held.grow(started_us, LARGE_BYTES));
+        held.start_waiting();
+        bodies.push(held);
+    }
+    let now_us = 4 * SECOND_US;
+    // Single bytes are no progress, a KiB is.
+    bodies[0].record_arrival(now_us, 1);
+    bodies[2].record_arrival(now_us, 1 << 10);
+    let mut next = pool.start_body(now_us);
+    assert!(next.grow(now_us, LARGE_BYTES), "the one of the first second gives way");
+    assert_eq!(pool.used_bytes(), 3 * LARGE_BYTES);
+    drop(bodies.remove(1));
+    assert_eq!(pool.used_bytes(), 3 * LARGE_BYTES, "it was released only once");
+    assert!(pool.start_body(now_us).grow(now_us, LARGE_BYTES));
+    drop(bodies.remove(0));
+    let mut last = pool.start_body(now_us);
+    assert!(last.grow(now_us, LARGE_BYTES));
+    assert!(!pool.start_body(now_us).grow(now_us, LARGE_BYTES), "nobody has stalled");
+    assert!(pool.start_body(now_us).grow(now_us, 300), "small ones fit");
+}
+
+/// Guards against a body's memory being released while the request still needs it.
+#[tokio::test]
+async fn a_body_holds_its_memory_until_its_last_copy_is_dropped() {
+    let pool = pool();
+    let sent = Full::new(Bytes::from(vec![b'x'; 5_000]));
+    let bytes = body::read(sent, LARGE_BYTES, &pool, &open()).await.unwrap();
+    assert_eq!((bytes.len(), pool.used_bytes()), (5_000, 5_000));
+    let copy = bytes.slice(1..);
+    drop(bytes);
+    assert_eq!(pool.used_bytes(), 5_000);
+    drop(copy);
+    assert_eq!(pool.used_bytes(), 0);
+}
+
+#[tokio::test]
+async fn bodies_that_are_too_long_or_have_no_room_are_not_read() {
+    let pool = pool();
+    let full = |byte_count: usize| Full::new(Bytes::from(vec![b'x'; byte_count]));
+    let too_long = body::read(full(LARGE_BYTES + 1), LARGE_BYTES, &pool, &open()).await;
+    assert!(matches!(too_long, Err(body::Failure::TooLong)), "{too_long:?}");
+    let unstated = full(LARGE_BYTES + 1).map_frame(|frame| frame);
+    let too_long = body::read(unstated, LARGE_BYTES, &pool, &open()).await;
+    assert!(matches!(too_long, Err(body::Failure::TooLong)), "{too_long:?}");
+    let mut held = pool.start_body(0);
+    assert!(held.grow(0, 3 * LARGE_BYTES));
+    let refused = body::read(full(LARGE_BYTES), LARGE_BYTES, &pool, &open()).await;
+    assert!(matches!(refused, Err(body::Failure::NoRoom)), "{refused:?}");
+    assert_eq!(pool.used_bytes(), 3 * LARGE_BYTES);
+}
+
+#[test]
+fn connections_are_bounded_by_descriptors_and_memory() {
+    let max = |fds, memory_mb: u64| {
+        let budget = memory::Budget::new(Some(memory_mb << 20));
+        connections::clients_max(Some(fds), budget.connections_bytes)
+    };
+    let counts = [max(400, 64), max(2_870, 112), max(4_100, 160), max(8_192, 512)];
+    assert_eq!(counts, [100, 955, 1_365, 3_996]);
+    assert_eq!(connections::clients_max(None, 0), usize::MAX);
+}
+
+/// Guards against a crowd of idle connections that keeps everybody else out.
+#[tokio::test]
+async fn at_the_limit_the_longest_idle_connection_gives_way_and_one_in_use_does_not() {
+    let limit = sync::Arc::new(connections::Limit::new(2));
+    let admit = |now_us| match limit.admit(now_us) {
+        connections::Admitted::Free(open) | connections::Admitted::InPlaceOfAnother(open) => {
+            Some(open)
+        }
+        connections::Admitted::Refused => None,
+    };
+    let oldest = admit(1).unwrap();
+    let busy = admit(2).unwrap();
+    let request = busy.start_request();
+    let newest = admit(3).unwrap();
+    oldest.wait_for_closing().await;
+    assert_eq!(limit.count(), 2);
+    drop(oldest);
+    assert_eq!(limit.count(), 2, "it was counted only once");
+    let _second = newest.start_request();
+    assert!(admit(4).is_none(), "both are in use");
+    drop(request);
+    assert!(admit(5).is_some());
+}
