Take an answer without a valid status for a lost one

Cause: the HTTP client accepts any status from 100 to 999 and passes on 101 as if it were final, and the instance treated what came of it as any answer.

Change: an answer with a status outside of 200 to 599 is lost before anything else in it is read.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -295,6 +295,10 @@
     sent_us: u64,
 ) -> Result<(SendResult, ReuseTerms), SendResult> {
     let (head, body) = response.into_parts();
+    if !is_final_status(head.status) {
+        // The rest of such an answer is not believed either, not even that the request did not run.
+        return Err(SendResult::lost(format!("invalid status {}", head.status.as_u16())));
+    }
     let echoed = head.headers.get(&headers.request_id);
     if echoed.is_some_and(|id| id.as_bytes() != outgoing.id.as_bytes()) {
         endpoint.close_idle();
@@ -343,6 +347,12 @@
     Ok((SendResult::new(query::Outcome::Answered(answer), report, detail), terms))
 }
 
+/// Whether a status is one that ends an exchange. The HTTP client passes on any number from 100 to 999, and 101 as if it were
+/// final.
+fn is_final_status(status: http::StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Why the body of an answer can't be read.
 #[derive(Debug, thiserror::Error)]
 enum BodyError {
