Don't take the rest of an unread body for a request head

Cause: the time for a request head counts from the first byte after an answer. A request that is answered before its body is read (401, 404, 503 without a configuration) may have the rest of its body arrive after the answer. The connection would be closed headerTimeoutMs later, although clients reuse idle ones for longer.

Change: what arrives first after such an answer does not start the time.

--- a/src/forward/admission/body.rs
+++ b/src/forward/admission/body.rs
@@ -116,7 +116,7 @@
         bytes.extend_from_slice(&data);
     }
     held.stop_waiting();
-    open.set_busy();
+    open.finish_body();
     Ok(Bytes::from_owner(Complete { bytes, _held: held }))
 }
 
--- a/src/forward/admission/connections.rs
+++ b/src/forward/admission/connections.rs
@@ -55,6 +55,8 @@
     Body,
     /// A request is being handled.
     Busy,
+    /// A request was answered before its body was read. What arrives next may be the rest of that body.
+    Unread,
 }
 
 #[derive(Debug)]
@@ -63,6 +65,8 @@
     activity: atomic::AtomicU8,
     since_us: atomic::AtomicU64,
     has_served: atomic::AtomicBool,
+    /// Whether the request that is being handled has a body that was not read yet.
+    is_body_unread: atomic::AtomicBool,
     closing: Notify,
 }
 
@@ -145,6 +149,7 @@
             activity: atomic::AtomicU8::new(Activity::Idle as u8),
             since_us: atomic::AtomicU64::new(now_us),
             has_served: atomic::AtomicBool::new(false),
+            is_body_unread: atomic::AtomicBool::new(false),
             closing: Notify::new(),
         });
         connections.next_id += 1;
@@ -174,13 +179,15 @@
 
 impl Open {
     /// Says that a request is being handled until the guard is dropped.
-    pub fn start_request(&self) -> RequestGuard {
-        self.set_busy();
+    pub fn start_request(&self, has_body: bool) -> RequestGuard {
+        self.0.connection.is_body_unread.store(has_body, atomic::Ordering::Relaxed);
+        self.0.connection.set(Activity::Busy, 0);
         RequestGuard(self.clone())
     }
 
-    /// Says that a request is being handled, and its body is not waited for.
-    pub fn set_busy(&self) {
+    /// Says that the body of the request has been read.
+    pub fn finish_body(&self) {
+        self.0.connection.is_body_unread.store(false, atomic::Ordering::Relaxed);
         self.0.connection.set(Activity::Busy, 0);
     }
 
@@ -217,7 +224,11 @@
     fn drop(&mut self) {
         let connection = &self.0.0.connection;
         connection.has_served.store(true, atomic::Ordering::Relaxed);
-        connection.set(Activity::Idle, clock::now_us());
+        let activity = match connection.is_body_unread.load(atomic::Ordering::Relaxed) {
+            true => Activity::Unread,
+            false => Activity::Idle,
+        };
+        connection.set(activity, clock::now_us());
     }
 }
 
@@ -244,8 +255,12 @@
         let before = buffer.filled().len();
         task::ready!(pin::Pin::new(&mut self.stream).poll_read(context, buffer))?;
         let connection = &self.open.0.connection;
-        if buffer.filled().len() > before && connection.is(Activity::Idle) {
-            connection.set(Activity::Head, clock::now_us());
+        if buffer.filled().len() > before {
+            if connection.is(Activity::Idle) {
+                connection.set(Activity::Head, clock::now_us());
+            } else if connection.is(Activity::Unread) {
+                connection.set(Activity::Idle, clock::now_us());
+            }
         }
         task::Poll::Ready(Ok(()))
     }
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -22,6 +22,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use http_body_util::Full;
+use hyper::body::Body as _;
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::TokioIo;
@@ -170,11 +171,11 @@
         let idle_ms = limits.map_or(IDLE_TIMEOUT_DEFAULT_MS, |limits| limits.idle_timeout_ms);
         let server = self.clone();
         let handled = open.clone();
-        let service = service::service_fn(move |request| {
+        let service = service::service_fn(move |request: http::Request<hyper::body::Incoming>| {
             let server = server.clone();
             let open = handled.clone();
             async move {
-                let _request = open.start_request();
+                let _request = open.start_request(!request.body().is_end_stream());
                 server.handle_request(request, &open).await
             }
         });
