Route by expected work and backlog if the command line says so

Requests that look alike cost very different amounts of work, and the choice of a searcher used one median for each route, and forgot within a second that machines differ. With `--routing expected-work` a searcher is chosen by the expected time of completion: the work of the request, learned by route, size and number of records, the outstanding work at the searcher, and the speed of its machine; load that searchers state in answers is used with its age. Hedges become due by the expected work of the request.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -404,6 +404,12 @@
             }
         }
     }
+    if let Some(value) = head.headers.get(&names.load) {
+        match value.to_str().ok().and_then(|text| text.parse().ok()) {
+            Some(load) => endpoint.set_load(load),
+            None => tracing::debug!(searcher = %endpoint.id, ?value, "unreadable load"),
+        }
+    }
     if head.status != http::StatusCode::SERVICE_UNAVAILABLE {
         return;
     }
--- a/src/forward/balancer.rs
+++ b/src/forward/balancer.rs
@@ -4,12 +4,22 @@
 //! round trip, the route's median processing time scaled by the searcher's recent slowness, the queueing
 //! delay, and penalties for failures and for missing answers. Observations decay exponentially, so a searcher
 //! that was slow or failing is tried again.
+//!
+//! With [`routing::Routing::ExpectedWork`], the round trip, the processing time and the queueing delay are those of
+//! [`backlog`] in place of the above; penalties, backoff and limits are the same.
 
 use crate::discovery::registry;
+use crate::expected_work::backlog;
+use crate::expected_work::cost;
+use crate::expected_work::routing;
 use crate::forward::endpoint;
 use crate::forward::limit;
 use crate::ids;
 use compact_str::CompactString;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand::rngs;
+use std::cell;
 use std::sync;
 
 /// The weight of a new sample in the moving average of the slowness.
@@ -159,6 +169,7 @@
     endpoint: sync::Arc<endpoint::Endpoint>,
     connections_max: u32,
     stats: Stats,
+    backlog: backlog::Backlog,
 }
 
 /// Identifies a send in flight among those to the same searcher.
@@ -170,6 +181,8 @@
 pub struct Candidate {
     index: usize,
     expected_us: u64,
+    /// The median processing time of the request's route, or its expected work.
+    work_us: u64,
 }
 
 /// The searcher selected for a send.
@@ -202,6 +215,19 @@
     sharers: limit::Sharers,
     /// Pairs of a failure domain and its region, sorted.
     regions: Vec<(CompactString, CompactString)>,
+    routing: routing::Routing,
+    /// Used only with [`routing::Routing::ExpectedWork`].
+    costs: cost::Model,
+    jitter: Jitter,
+}
+
+/// The source of the random part of costs.
+struct Jitter(cell::RefCell<rngs::SmallRng>);
+
+impl Default for Jitter {
+    fn default() -> Self {
+        Self(cell::RefCell::new(rand::make_rng()))
+    }
 }
 
 /// The number of instances that share the searchers' connections.
@@ -221,6 +247,54 @@
         Self { regions, ..Self::default() }
     }
 
+    /// Sets the rule by which searchers are selected.
+    pub fn set_routing(&mut self, routing: routing::Routing) {
+        self.routing = routing;
+    }
+
+    /// Makes the random part of the selection depend on `seed` alone.
+    pub fn set_seed(&mut self, seed: u64) {
+        self.jitter = Jitter(cell::RefCell::new(rngs::SmallRng::seed_from_u64(seed)));
+    }
+
+    /// Returns the expected work of a request, or `median_processing_us`, the median processing time of its route, if
+    /// searchers are not selected by expected work.
+    pub fn expected_work_us(
+        &self,
+        now_us: u64,
+        route: &str,
+        size: cost::RequestSize,
+        median_processing_us: u64,
+    ) -> u64 {
+        match self.routing {
+            routing::Routing::Latency => median_processing_us,
+            routing::Routing::ExpectedWork => {
+                self.costs.expected_us(now_us, route, size, median_processing_us as f64) as u64
+            }
+        }
+    }
+
+    /// Learns from the work of an answered request.
+    pub fn record_work(
+        &mut self,
+        now_us: u64,
+        route: &str,
+        size: cost::RequestSize,
+        sample: backlog::WorkSample,
+    ) {
+        self.costs.record(now_us, route, size, sample.actual_us);
+    }
+
+    /// Drops what is known about routes that are not in `names`, which must be sorted.
+    pub fn retain_routes(&mut self, names: &[&str]) {
+        self.costs.retain_routes(names);
+    }
+
+    /// Returns the expected work of all sends in flight that is not done yet, 0 if it is not tracked.
+    pub fn outstanding_work_us(&self, now_us: u64) -> f64 {
+        self.entries.iter().map(|entry| entry.backlog.outstanding_us(now_us)).sum()
+    }
+
     /// Sets the instances that divide the limits of searchers.
     pub fn set_sharers(&mut self, sharers: limit::Sharers) {
         self.sharers = sharers;
@@ -264,6 +338,7 @@
                         endpoint: sync::Arc::new(endpoint),
                         connections_max,
                         stats: Stats::new(now_us),
+                        backlog: backlog::Backlog::new(now_us),
                     }
                 }
             };
@@ -284,6 +359,7 @@
         let start =
             self.entries.partition_point(|entry| entry.endpoint.searcher.service < *service);
         let mut best: Option<(bool, f64, usize, u64)> = None;
+        let mut jitter = self.jitter.0.borrow_mut();
         for (index, entry) in self.entries.iter().enumerate().skip(start) {
             if entry.endpoint.searcher.service != *service {
                 break;
@@ -299,13 +375,20 @@
                 continue;
             }
             let is_backed_off = now_us < entry.stats.backoff_until_us;
-            let expected_us = self.expected_us(now_us, entry, profile.median_processing_us);
+            let expected_us = match self.routing {
+                routing::Routing::Latency => {
+                    self.expected_us(now_us, entry, profile.median_processing_us)
+                }
+                routing::Routing::ExpectedWork => {
+                    self.completion_us(now_us, entry, profile.median_processing_us)
+                }
+            };
             let cross_region_penalty_us = match entry.endpoint.distance {
                 endpoint::Distance::OtherRegion => profile.cross_region_penalty_us as f64,
                 _ => 0.0,
             };
             let cost =
-                (expected_us + cross_region_penalty_us) * (1.0 + JITTER * rand::random::<f64>());
+                (expected_us + cross_region_penalty_us) * (1.0 + JITTER * jitter.random::<f64>());
             let is_better = match best {
                 None => true,
                 Some((best_backed_off, best_cost, _, _)) => {
@@ -317,7 +400,7 @@
             }
         }
         let (_, _, index, expected_us) = best?;
-        Some(Candidate { index, expected_us })
+        Some(Candidate { index, expected_us, work_us: profile.median_processing_us })
     }
 
     /// Returns the earliest time from which a searcher of `service` that is not in `tried` accepts a request, as far
@@ -344,6 +427,7 @@
     /// Records the start of a send to a searcher found just before.
     pub fn start_send(&mut self, now_us: u64, candidate: Candidate) -> Choice {
         let limit_part = self.limit_part(&self.entries[candidate.index]);
+        let profile = self.backlog_profile(&self.entries[candidate.index]);
         let entry = &mut self.entries[candidate.index];
         if let Some((bucket, rate)) = entry.stats.bucket.as_mut().zip(limit_part) {
             bucket.take(now_us, rate);
@@ -351,11 +435,17 @@
         let send_id = entry.stats.next_send_id;
         entry.stats.next_send_id += 1;
         entry.stats.in_flight.push((send_id, now_us));
+        if self.routing == routing::Routing::ExpectedWork {
+            let work_us = candidate.work_us as f64;
+            let estimate = entry.backlog.estimate(now_us, work_us, profile);
+            entry.backlog.start(now_us, send_id, work_us, estimate);
+        }
         let endpoint = entry.endpoint.clone();
         Choice { endpoint, send_id: SendId(send_id), expected_us: candidate.expected_us }
     }
 
-    /// Records the end of a send. `median_processing_us` is the median processing time of its route.
+    /// Records the end of a send. `median_processing_us` is the median processing time of its route, or its expected
+    /// work. Returns the work of an answered send if searchers are selected by expected work.
     pub fn finish_send(
         &mut self,
         now_us: u64,
@@ -363,13 +453,23 @@
         send_id: &SendId,
         median_processing_us: u64,
         report: Report,
-    ) {
-        let found = self.entries.iter_mut().find(|entry| {
+    ) -> Option<backlog::WorkSample> {
+        let found = self.entries.iter().position(|entry| {
             entry.endpoint.id == endpoint.id
                 && entry.endpoint.searcher.boot_ms == endpoint.searcher.boot_ms
         });
-        let Some(entry) = found else {
-            return;
+        let index = found?;
+        let profile = self.backlog_profile(&self.entries[index]);
+        let entry = &mut self.entries[index];
+        let sample = match self.routing {
+            routing::Routing::Latency => None,
+            routing::Routing::ExpectedWork => {
+                let sample = finish_work(now_us, &mut entry.backlog, send_id, profile, report);
+                if let Some(load) = endpoint.take_load() {
+                    entry.backlog.observe_load(now_us, load);
+                }
+                sample
+            }
         };
         let stats = &mut entry.stats;
         stats.in_flight.retain(|(known, _)| *known != send_id.0);
@@ -407,6 +507,7 @@
             }
             Report::Cancelled => {}
         }
+        sample
     }
 
     /// Returns the number of open connections to searchers.
@@ -477,10 +578,28 @@
                 expected_us += age_us.clamp(STALL_MAX_US / 3.0, STALL_MAX_US);
             }
         }
-        let median_processing_us = median_processing_us as f64;
-        expected_us
-            + stats.failure_rate(now_us) * (FAILURE_COST_US + median_processing_us)
-            + stats.loss_rate(now_us) * (LOSS_COST_US + median_processing_us)
+        expected_us + failure_cost_us(now_us, stats, median_processing_us)
+    }
+
+    /// Returns the expected time to the end of the answer to a request with this expected work, and the penalties for
+    /// failures.
+    fn completion_us(&self, now_us: u64, entry: &Entry, work_us: u64) -> f64 {
+        let profile = self.backlog_profile(entry);
+        let estimate = entry.backlog.estimate(now_us, work_us as f64, profile);
+        estimate.total_us + failure_cost_us(now_us, &entry.stats, work_us)
+    }
+
+    fn backlog_profile(&self, entry: &Entry) -> backlog::Profile {
+        // As for the expected latency, only instances of the searcher's region are assumed to use it.
+        let sharing_count = match entry.endpoint.distance {
+            endpoint::Distance::OtherRegion => 1,
+            _ => self.instance_counts.active_in_region.max(1),
+        };
+        backlog::Profile {
+            round_trip_us: entry.endpoint.distance.round_trip_us() as f64,
+            slots: f64::from(entry.endpoint.searcher.slots.max(1)),
+            sharing_count: f64::from(sharing_count),
+        }
     }
 
     fn service_entries(&self, service: &ids::ServiceName) -> impl Iterator<Item = &Entry> {
@@ -491,6 +610,28 @@
     }
 }
 
+/// Returns the expected cost of a rejection and of a lost answer.
+fn failure_cost_us(now_us: u64, stats: &Stats, median_processing_us: u64) -> f64 {
+    let median_processing_us = median_processing_us as f64;
+    stats.failure_rate(now_us) * (FAILURE_COST_US + median_processing_us)
+        + stats.loss_rate(now_us) * (LOSS_COST_US + median_processing_us)
+}
+
+fn finish_work(
+    now_us: u64,
+    backlog: &mut backlog::Backlog,
+    send_id: &SendId,
+    profile: backlog::Profile,
+    report: Report,
+) -> Option<backlog::WorkSample> {
+    let (took_us, is_answered) = match report {
+        Report::Answered { latency_us } => (Some(latency_us), true),
+        Report::Silent { waited_us } => (Some(waited_us), false),
+        _ => (None, false),
+    };
+    backlog.finish(now_us, send_id.0, took_us, is_answered, profile)
+}
+
 fn sort_key(entry: &Entry) -> (&ids::ServiceName, &compact_str::CompactString) {
     (&entry.endpoint.searcher.service, &entry.endpoint.id)
 }
--- a/src/forward/endpoint.rs
+++ b/src/forward/endpoint.rs
@@ -4,6 +4,7 @@
 use crate::discovery::registry;
 use crate::event;
 use crate::events::Event;
+use crate::expected_work::load;
 use crate::forward::connection_limit;
 use crate::forward::limit;
 use crate::forward::read_limit;
@@ -72,6 +73,7 @@
     is_leaving: atomic::AtomicBool,
     paused_until_us: atomic::AtomicU64,
     limit: sync::Mutex<Option<limit::RequestRate>>,
+    load: sync::Mutex<Option<load::Load>>,
 }
 
 impl Endpoint {
@@ -88,6 +90,7 @@
             is_leaving: atomic::AtomicBool::new(false),
             paused_until_us: atomic::AtomicU64::new(0),
             limit: sync::Mutex::default(),
+            load: sync::Mutex::default(),
         }
     }
 
@@ -208,6 +211,16 @@
         *locks::lock(&self.limit)
     }
 
+    /// Sets the load that the searcher stated in an answer that has just arrived.
+    pub fn set_load(&self, load: load::Load) {
+        *locks::lock(&self.load) = Some(load);
+    }
+
+    /// Takes the load that the searcher stated since this was called last; `None` if it stated none.
+    pub fn take_load(&self) -> Option<load::Load> {
+        locks::lock(&self.load).take()
+    }
+
     /// Whether the endpoint gets no more requests: another searcher answers at the address, or the searcher is
     /// leaving.
     pub fn is_gone(&self) -> bool {
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -1,6 +1,7 @@
 //! The metrics of an instance that forwards requests.
 
 use crate::discovery::view;
+use crate::expected_work::metrics as expected_work;
 use crate::forward::endpoint;
 use crate::forward::query;
 use prometheus_client::encoding;
@@ -73,6 +74,8 @@
     members: gauge::Gauge,
     client_connections: gauge::Gauge,
     searcher_connections: gauge::Gauge,
+    /// Those of the routing by expected work.
+    pub expected_work: expected_work::Metrics,
 }
 
 impl Metrics {
@@ -98,6 +101,7 @@
             members: gauge::Gauge::default(),
             client_connections: gauge::Gauge::default(),
             searcher_connections: gauge::Gauge::default(),
+            expected_work: expected_work::Metrics::default(),
         };
         metrics.register();
         metrics
@@ -105,6 +109,7 @@
 
     fn register(&mut self) {
         let registry = &mut self.registry;
+        self.expected_work.register(registry);
         registry.register("requests", "Requests of clients by outcome", self.requests.clone());
         registry.register("latency_seconds", "Time to the answer", self.latency.clone());
         registry.register(
--- a/src/forward/query.rs
+++ b/src/forward/query.rs
@@ -8,6 +8,7 @@
 //! answered; from its target latency on, as soon as the minimum number of parts is; and immediately once that
 //! minimum can no longer be reached.
 
+use crate::expected_work::cost;
 use crate::forward::balancer;
 use crate::forward::budget;
 use crate::forward::endpoint;
@@ -100,7 +101,8 @@
     pub number: usize,
     /// The chosen searcher.
     pub choice: balancer::Choice,
-    /// The median processing time of the route.
+    /// The median processing time of the route, or the expected work of the request, see
+    /// [`balancer::Balancer::expected_work_us`].
     pub median_processing_us: u64,
 }
 
@@ -204,6 +206,7 @@
 /// One request in progress.
 pub struct Query {
     spec: Spec,
+    size: cost::RequestSize,
     parts: Vec<Part>,
     sends: Vec<SendRecord>,
     may_have_run: bool,
@@ -220,6 +223,7 @@
         let parts = vec![Part::default(); spec.services.len()];
         Self {
             spec,
+            size: cost::RequestSize::default(),
             parts,
             sends: Vec::new(),
             may_have_run: false,
@@ -229,6 +233,16 @@
         }
     }
 
+    /// Sets the size of the request, which affects its expected work.
+    pub fn set_size(&mut self, size: cost::RequestSize) {
+        self.size = size;
+    }
+
+    /// Returns the size of the request.
+    pub fn size(&self) -> cost::RequestSize {
+        self.size
+    }
+
     /// Returns what the query has to do.
     pub fn spec(&self) -> &Spec {
         &self.spec
@@ -518,7 +532,10 @@
         part_index: usize,
         reason: Reason,
     ) -> Result<Send, PartFailure> {
-        let median_processing_us = context.latencies.median_us(&self.spec.route);
+        let route = &self.spec.route;
+        let median_processing_us = context.latencies.median_us(route);
+        let median_processing_us =
+            context.balancer.expected_work_us(now_us, route, self.size, median_processing_us);
         let part = &mut self.parts[part_index];
         let cross_region_penalty_us = match reason {
             Reason::First => self.spec.target_us / CROSS_REGION_PENALTY_DIVISOR,
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -6,6 +6,8 @@
 use crate::discovery::view;
 use crate::event;
 use crate::events::Event;
+use crate::expected_work::cost;
+use crate::expected_work::routing;
 use crate::forward::address;
 use crate::forward::answer_buffer;
 use crate::forward::answer_delay;
@@ -150,6 +152,12 @@
         }
     }
 
+    /// Sets the rule by which searchers are selected.
+    pub fn with_routing(self, routing: routing::Routing) -> Self {
+        locks::lock(&self.shared).balancer.set_routing(routing);
+        self
+    }
+
     /// Returns the metrics.
     pub fn metrics(&self) -> &metrics::Metrics {
         &self.metrics
@@ -178,7 +186,7 @@
                 _ = searchers.changed() => self.sync_balancer(),
                 _ = members.changed() => self.sync_members(),
                 _ = sweep.tick() => {
-                    locks::lock(&self.shared).balancer.sweep();
+                    self.sweep();
                     if self.view.config_version() != version {
                         version = self.view.config_version();
                         self.sync_balancer();
@@ -214,6 +222,13 @@
         self.sync_members();
     }
 
+    fn sweep(&self) {
+        let shared = locks::lock(&self.shared);
+        shared.balancer.sweep();
+        let outstanding_us = shared.balancer.outstanding_work_us(clock::now_us());
+        self.metrics.expected_work.set_outstanding_us(outstanding_us);
+    }
+
     /// Drops the statistics of routes that are not in the current configuration.
     fn retain_current_routes(&self) {
         let Some(table) = self.view.table() else {
@@ -224,6 +239,7 @@
         names.sort_unstable();
         let mut shared = locks::lock(&self.shared);
         shared.latencies.retain_routes(&names);
+        shared.balancer.retain_routes(&names);
         drop(shared);
         self.view.with_client_wait(|client_wait| client_wait.retain_routes(&names));
     }
@@ -307,6 +323,7 @@
         outgoing: sync::Arc<attempt::OutgoingRequest>,
     ) -> Report {
         let mut query = query::Query::new(spec);
+        query.set_size(cost::RequestSize::of(&outgoing.body));
         let (end_sender, mut end_receiver) = mpsc::unbounded_channel();
         let mut limit = self.last_answer_us.subscribe();
         let first = self.decide(|now_us, context| query.start(now_us, context));
@@ -356,6 +373,7 @@
             let task = SendTask {
                 forwarder: self.clone(),
                 route: query.spec().route.clone(),
+                size: query.size(),
                 is_idempotent: query.spec().is_idempotent,
                 outgoing: outgoing.clone(),
                 send,
@@ -369,6 +387,7 @@
 struct SendTask {
     forwarder: sync::Arc<Forwarder>,
     route: CompactString,
+    size: cost::RequestSize,
     is_idempotent: bool,
     outgoing: sync::Arc<attempt::OutgoingRequest>,
     send: query::Send,
@@ -422,13 +441,18 @@
         let endpoint = &self.send.choice.endpoint;
         let mut shared = locks::lock(&self.forwarder.shared);
         let median_processing_us = self.send.median_processing_us;
-        shared.balancer.finish_send(
+        let sample = shared.balancer.finish_send(
             now_us,
             endpoint,
             &self.send.choice.send_id,
             median_processing_us,
             report,
         );
+        if let Some(sample) = sample {
+            shared.balancer.record_work(now_us, &self.route, self.size, sample);
+            let metrics = &self.forwarder.metrics.expected_work;
+            metrics.record_work(sample.expected_us, sample.actual_us);
+        }
         if let balancer::Report::Answered { latency_us } = report {
             let processing_us = latency_us.saturating_sub(endpoint.distance.round_trip_us());
             if endpoint.distance != endpoint::Distance::OtherRegion {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod entry;
 pub mod estimate;
 pub mod events;
+pub mod expected_work;
 pub mod explain;
 pub mod forward;
 pub mod frame;
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,6 +10,7 @@
 use crate::discovery::view;
 use crate::event;
 use crate::events::Event;
+use crate::expected_work::routing;
 use crate::forward::budget;
 use crate::forward::dialect;
 use crate::forward::metrics;
@@ -44,6 +45,8 @@
     pub link: Option<pacer::ByteRate>,
     /// The budget of hedges and retries.
     pub budget: budget::Rule,
+    /// The rule by which searchers are selected.
+    pub routing: routing::Routing,
     /// The time from the request to stop until the process is killed.
     pub grace: time::Duration,
 }
@@ -121,7 +124,7 @@
         settings.budget,
         metrics.clone(),
     );
-    let forwarder = sync::Arc::new(forwarder);
+    let forwarder = sync::Arc::new(forwarder.with_routing(settings.routing));
     let server = sync::Arc::new(server::Server::new(
         view.clone(),
         forwarder.clone(),
