Test routing by expected work with gathers over machines of different speeds

The patterns with one service use 60 % of the slots, where the queues decide. The deployment with uneven machines uses about 11 % for gathers, where the speed decides, and no pattern showed it. Two patterns more: gathers of 36 parts over speeds 0.8, 1.0 and 1.3, and the same with machines that become 2.5 times slower.

--- a/tests/expected_work.rs
+++ b/tests/expected_work.rs
@@ -96,6 +96,17 @@
     ..STEADY
 };
 
+/// Uses 11 % of the slots, so that the speed of the machines decides.
+const GATHERS: Pattern = Pattern { name: "gathers", speeds: SPEEDS.speeds, period_us: 0, ..PAUSES };
+
+const SLOW_GATHERS: Pattern = Pattern {
+    name: "slow gathers",
+    episode_speed: SLOW_MACHINES.episode_speed,
+    episode_us: SLOW_MACHINES.episode_us,
+    period_us: SLOW_MACHINES.period_us,
+    ..GATHERS
+};
+
 /// Uses 60 % of the slots.
 const TWO_KINDS: Pattern = Pattern {
     name: "two kinds",
@@ -502,8 +513,8 @@
 }
 
 /// Simulates a pattern with both routings, prints the quantiles, and checks that expected work is within the tolerance.
-/// Returns the latencies for latency and for expected work.
-fn compare(pattern: Pattern) -> [Latencies; 2] {
+/// Returns the latencies for latency, for expected work, and for expected work with stated load.
+fn compare(pattern: Pattern) -> [Latencies; 3] {
     let [latency, expected, told] =
         [LATENCY, EXPECTED_WORK, STATED_LOAD].map(|variant| print_result(pattern, variant));
     for variant in OTHERS {
@@ -516,23 +527,40 @@
             assert!(actual_us <= limit_us, "{} p{share}: {actual_us} us", pattern.name);
         }
     }
-    [latency, expected]
+    [latency, expected, told]
 }
 
 /// Machines of different hardware: the fast ones have to get more.
 #[test]
 fn fast_searchers_get_more_requests() {
-    let [latency, expected] = compare(SPEEDS);
+    let [latency, expected, _] = compare(SPEEDS);
     assert!(expected.quantile_us(None, 0.95) < latency.quantile_us(None, 0.95));
 }
 
 /// A machine that is slow for a moment has to be left at once and used again at once.
 #[test]
 fn machines_that_are_slow_for_a_moment_are_avoided() {
-    let [latency, expected] = compare(SLOW_MACHINES);
+    let [latency, expected, _] = compare(SLOW_MACHINES);
     assert!(expected.quantile_us(None, 0.95) < latency.quantile_us(None, 0.95));
 }
 
+/// The same for gathers, which wait for the slowest of 36 parts.
+#[test]
+fn gathers_use_fast_searchers() {
+    let [latency, expected, _] = compare(GATHERS);
+    assert!(expected.quantile_us(None, 0.5) < latency.quantile_us(None, 0.5));
+    assert!(expected.quantile_us(None, 0.95) < latency.quantile_us(None, 0.95));
+    assert!(expected.hedges < latency.hedges);
+}
+
+/// With few answers from each searcher, only what the searchers state can tell of a slow machine in time.
+#[test]
+fn gathers_avoid_searchers_that_state_that_they_are_slow() {
+    let [latency, _, told] = compare(SLOW_GATHERS);
+    assert!(told.quantile_us(None, 0.95) < latency.quantile_us(None, 0.95));
+    assert!(told.quantile_us(None, 0.99) < latency.quantile_us(None, 0.99));
+}
+
 /// A request that happens to be expensive must not make its searcher count as slow.
 #[test]
 fn expensive_requests_do_not_spoil_the_estimates() {
@@ -542,7 +570,7 @@
 /// A gather is as slow as its slowest part, so one paused searcher delays it.
 #[test]
 fn gathers_avoid_paused_searchers() {
-    let [latency, expected] = compare(PAUSES);
+    let [latency, expected, _] = compare(PAUSES);
     assert!(expected.quantile_us(None, 0.99) <= latency.quantile_us(None, 0.99));
     assert!(expected.quantile_us(None, 0.95) <= GATHER_TARGET_US);
 }
@@ -550,7 +578,7 @@
 /// A searcher with a few long requests has more to do than one with as many short ones.
 #[test]
 fn short_requests_avoid_searchers_with_long_ones() {
-    let [latency, expected] = compare(TWO_KINDS);
+    let [latency, expected, _] = compare(TWO_KINDS);
     assert!(expected.quantile_us(Some(0), 0.95) < latency.quantile_us(Some(0), 0.95));
 }
 
