--- a/tests/expected_work.rs
+++ b/tests/expected_work.rs
@@ -96,7 +96,7 @@
     ..STEADY
 };
 
-/// Uses 11 % of the slots, so that the speed of the machines decides.
+/// Uses 10 % of the slots, so that the speed of the machines decides.
 const GATHERS: Pattern = Pattern { name: "gathers", speeds: SPEEDS.speeds, period_us: 0, ..PAUSES };
 
 const SLOW_GATHERS: Pattern = Pattern {
