--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -418,6 +418,12 @@
     if let Some(cold_ms) = cold_ms {
         endpoint.set_cold_until_us(clock::now_us().saturating_add(cold_ms.saturating_mul(1_000)));
     }
+    if let Some(value) = head.headers.get(&names.load) {
+        match value.to_str().ok().and_then(|text| text.parse().ok()) {
+            Some(load) => endpoint.set_load(load),
+            None => tracing::debug!(searcher = %endpoint.id, ?value, "unreadable load"),
+        }
+    }
     if head.status != http::StatusCode::SERVICE_UNAVAILABLE {
         return;
     }
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -1,6 +1,7 @@
 //! The metrics of an instance that forwards requests.
 
 use crate::discovery::view;
+use crate::expected_work::metrics as expected_work;
 use crate::fair_order;
 use crate::forward::endpoint;
 use crate::forward::query;
@@ -87,6 +88,8 @@
     pub placement: placement::metrics::Metrics,
     tenants: tenants::metrics::Metrics,
     fair_order: fair_order::metrics::Metrics,
+    /// Those of the routing by expected work.
+    pub expected_work: expected_work::Metrics,
 }
 
 impl Metrics {
@@ -117,6 +120,7 @@
             placement: placement::metrics::Metrics::default(),
             tenants: tenants::metrics::Metrics::default(),
             fair_order: fair_order::metrics::Metrics::new(),
+            expected_work: expected_work::Metrics::default(),
         };
         metrics.register();
         metrics
@@ -127,6 +131,7 @@
         self.placement.register(registry);
         self.tenants.register(registry);
         self.fair_order.register(registry);
+        self.expected_work.register(registry);
         registry.register("requests", "Requests of clients by outcome", self.requests.clone());
         registry.register("latency_seconds", "Time to the answer", self.latency.clone());
         registry.register(
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -6,6 +6,8 @@
 use crate::discovery::view;
 use crate::event;
 use crate::events::Event;
+use crate::expected_work::cost;
+use crate::expected_work::routing;
 use crate::fair_order::gate;
 use crate::forward::address;
 use crate::forward::admission::memory;
@@ -155,6 +157,12 @@
         }
     }
 
+    /// Sets the rule by which searchers are selected.
+    pub fn with_routing(self, routing: routing::Routing) -> Self {
+        locks::lock(&self.shared).balancer.set_routing(routing);
+        self
+    }
+
     /// Returns the metrics.
     pub fn metrics(&self) -> &metrics::Metrics {
         &self.metrics
@@ -183,7 +191,7 @@
                 _ = searchers.changed() => self.sync_balancer(),
                 _ = members.changed() => self.sync_members(),
                 _ = sweep.tick() => {
-                    locks::lock(&self.shared).balancer.sweep();
+                    self.sweep();
                     self.sync_placement();
                     if self.view.config_version() != version {
                         version = self.view.config_version();
@@ -249,6 +257,13 @@
         self.metrics.placement.set_cold(shared.balancer.cold_count());
     }
 
+    fn sweep(&self) {
+        let shared = locks::lock(&self.shared);
+        shared.balancer.sweep();
+        let outstanding_us = shared.balancer.outstanding_work_us(clock::now_us());
+        self.metrics.expected_work.set_outstanding_us(outstanding_us);
+    }
+
     /// Drops the statistics of routes that are not in the current configuration.
     fn retain_current_routes(&self) {
         let Some(table) = self.view.table() else {
@@ -259,6 +274,7 @@
         names.sort_unstable();
         let mut shared = locks::lock(&self.shared);
         shared.latencies.retain_routes(&names);
+        shared.balancer.retain_routes(&names);
         gate::apply_config(&mut shared.fair_order, &table.config, self.metrics.fair_order());
         drop(shared);
         self.view.with_client_wait(|client_wait| client_wait.retain_routes(&names));
@@ -353,6 +369,7 @@
         outgoing: sync::Arc<attempt::OutgoingRequest>,
     ) -> Report {
         let mut query = query::Query::new(spec);
+        query.set_size(cost::RequestSize::of(&outgoing.body));
         let (end_sender, mut end_receiver) = mpsc::unbounded_channel();
         let mut limit = self.last_answer_us.subscribe();
         let first = self.decide(|now_us, context| query.start(now_us, context));
@@ -406,6 +423,7 @@
             let task = SendTask {
                 forwarder: self.clone(),
                 spec: query.spec().clone(),
+                size: query.size(),
                 outgoing: outgoing.clone(),
                 send,
             };
@@ -418,6 +436,7 @@
 struct SendTask {
     forwarder: sync::Arc<Forwarder>,
     spec: sync::Arc<query::Spec>,
+    size: cost::RequestSize,
     outgoing: sync::Arc<attempt::OutgoingRequest>,
     send: query::Send,
 }
@@ -470,13 +489,18 @@
         let endpoint = &self.send.choice.endpoint;
         let mut shared = locks::lock(&self.forwarder.shared);
         let median_processing_us = self.send.median_processing_us;
-        shared.balancer.finish_send(
+        let sample = shared.balancer.finish_send(
             now_us,
             endpoint,
             &self.send.choice.send_id,
             median_processing_us,
             report,
         );
+        if let Some(sample) = sample {
+            shared.balancer.record_work(now_us, &self.spec.route, self.size, sample);
+            let metrics = &self.forwarder.metrics.expected_work;
+            metrics.record_work(sample.expected_us, sample.actual_us);
+        }
         let Shared { balancer, fair_order, .. } = &mut *shared;
         if let Some(gate) = fair_order {
             let class = self.spec.class(median_processing_us);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod entry;
 pub mod estimate;
 pub mod events;
+pub mod expected_work;
 pub mod explain;
 pub mod fair_order;
 pub mod forward;
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,6 +10,7 @@
 use crate::discovery::view;
 use crate::event;
 use crate::events::Event;
+use crate::expected_work::routing;
 use crate::forward::admission;
 use crate::forward::admission::memory;
 use crate::forward::budget;
@@ -51,6 +52,8 @@
     pub budget: budget::Rule,
     /// By how much the limits of cold searchers may be exceeded.
     pub cold: cold::Tolerance,
+    /// The rule by which searchers are selected.
+    pub routing: routing::Routing,
     /// The time from the request to stop until the process is killed.
     pub grace: time::Duration,
 }
@@ -133,7 +136,8 @@
     );
     forwarder.set_cold_tolerance(settings.cold);
     let budget = memory::Budget::new(settings.machine.memory_bytes);
-    let forwarder = sync::Arc::new(forwarder.with_answers_max(budget.answers_bytes));
+    let forwarder = forwarder.with_answers_max(budget.answers_bytes).with_routing(settings.routing);
+    let forwarder = sync::Arc::new(forwarder);
     let server = sync::Arc::new(server::Server::new(
         view.clone(),
         forwarder.clone(),
