Limit tenants' requests over all instances together

Cause: a tenant's quota was read from the configuration and not enforced. A part of the limit for each instance would refuse small tenants, whose requests are spread over instances.

Change: instances report cumulative counts to the hubs every 200 ms; a hub keeps a token bucket for each tenant and tells its level and the instance's share. An instance decides without a call: it admits its share of the level, free requests of tenants with little demand, and a credit that fills with its share of the rate. A hub reserves the shares of instances that stop to report for 13 s. Over the quota: 429 with Retry-After before the body is read, event 520, an outcome `over_quota` and counters for at most 32 tenants by name. Active only with `bounds.quotaWindowS`. The version of the feed frames is raised, so instances of the previous version don't exchange updates with these.

Bytes between instances and processor time per request were not measured.

--- a/src/discovery/feed.rs
+++ b/src/discovery/feed.rs
@@ -7,6 +7,7 @@
 use crate::discovery::members;
 use crate::discovery::registry;
 use crate::frame;
+use crate::tenants::usage;
 use flate2::read;
 use flate2::write;
 use serde::{Deserialize, Serialize};
@@ -25,7 +26,7 @@
 
 /// The key of the frames' checksums. The platform gives instances no shared secret, so the checksums detect
 /// corruption and accidental connections from other software, but not forgery.
-pub const FRAME_KEY: [u8; 32] = *b"tarragondoor feed frames, v4\0\0\0\0";
+pub const FRAME_KEY: [u8; 32] = *b"tarragondoor feed frames, v5\0\0\0\0";
 
 /// A message from a subscriber to its source.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -45,6 +46,8 @@
     SendSearchers,
     /// The longest timeouts that clients have stated to the subscriber.
     ClientTimeouts(Vec<client_wait::LongestTimeout>),
+    /// What the subscriber has admitted of the tenants' quotas.
+    Usage(usage::Report),
 }
 
 /// A message from a source to its subscriber.
@@ -71,6 +74,8 @@
     ConfigDelta(Box<config::ConfigDelta>),
     /// The longest timeouts that clients have stated to instances of the source's region.
     ClientTimeouts(Vec<client_wait::LongestTimeout>),
+    /// What the instances have used of the tenants' quotas, for this subscriber.
+    Usage(usage::Levels),
     /// Another update, encoded and compressed.
     Compressed(Vec<u8>),
     /// Sent periodically: how recent the source's state is.
--- a/src/discovery/publisher.rs
+++ b/src/discovery/publisher.rs
@@ -13,6 +13,7 @@
 use crate::forward::metrics;
 use crate::frame;
 use crate::locks;
+use crate::tenants::usage;
 use std::net;
 use std::sync;
 use std::time;
@@ -84,6 +85,8 @@
         planned: None,
         held: None,
         timeouts_told: None,
+        wants_levels: None,
+        levels_told: usage::Told::default(),
     };
     if let Err(error) = session.run(received).await {
         tracing::debug!(%error, %peer, "connection from subscriber ended");
@@ -258,6 +261,9 @@
     held: Option<Encoded>,
     /// The number of changes of clients' timeouts when they were last told, and when that was.
     timeouts_told: Option<(u64, u64)>,
+    /// Whether the subscriber wants the levels of quotas, and what it was told of them.
+    wants_levels: Option<u32>,
+    levels_told: usage::Told,
 }
 
 impl Session {
@@ -268,6 +274,10 @@
         let mut heartbeat = tokio::time::interval(HEARTBEAT_PERIOD);
         heartbeat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut members_changed = self.shared.view.members_epoch();
+        let mut usage_timer =
+            tokio::time::interval(time::Duration::from_micros(usage::REPORT_PERIOD_US));
+        usage_timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let has_quotas = self.shared.view.quotas().is_some();
         loop {
             self.plan_requested()?;
             let urgent_at = self.urgent.as_ref().map(|planned| planned.slot.send_at(0));
@@ -284,6 +294,7 @@
                     Some(feed::Request::SendConfig) => self.needs_config = true,
                     Some(feed::Request::SendSearchers) => self.needs_searchers = true,
                     Some(feed::Request::ClientTimeouts(timeouts)) => self.shared.view.tell_client_timeouts(&timeouts),
+                    Some(feed::Request::Usage(report)) => self.apply_usage(&report),
                     None => return Ok(()),
                 },
                 update = self.updates.recv(), if self.subscriber.is_some() && is_free => match update {
@@ -297,6 +308,7 @@
                     self.send_heartbeat().await?;
                     self.tell_client_timeouts().await?;
                 }
+                _ = usage_timer.tick(), if has_quotas && self.subscriber.is_some() => self.tell_levels().await?,
                 () = wait_until(members_at) => self.plan_members()?,
                 () = wait_until(urgent_at) => {
                     let urgent = self.urgent.take();
@@ -497,6 +509,29 @@
         self.write(&buffer).await
     }
 
+    fn apply_usage(&mut self, report: &usage::Report) {
+        self.wants_levels = report.wants_levels;
+        if let (Some(quotas), Some(subscriber)) = (self.shared.view.quotas(), &self.subscriber) {
+            quotas.report(&subscriber.name, subscriber.boot_ms, report);
+        }
+    }
+
+    /// Tells the subscriber the levels of quotas that have changed.
+    async fn tell_levels(&mut self) -> Result<(), frame::FrameError> {
+        let (Some(quotas), Some(subscriber)) = (self.shared.view.quotas(), &self.subscriber) else {
+            return Ok(());
+        };
+        let due = quotas.levels_due(&subscriber.name, self.wants_levels, &mut self.levels_told);
+        let Some(levels) = due else {
+            return Ok(());
+        };
+        let update = feed::Update::Usage(levels);
+        let mut buffer = Vec::new();
+        self.codec.encode(&update, &mut buffer)?;
+        self.shared.metrics.record_feed_sent((&update).into(), buffer.len());
+        self.write(&buffer).await
+    }
+
     /// Reserves a slot for an update, or holds it back until the planned one is sent. An update must not overtake a larger
     /// one about the same subject.
     fn plan(&mut self, encoded: Encoded, is_requested: bool) {
--- a/src/discovery/subscriber.rs
+++ b/src/discovery/subscriber.rs
@@ -12,6 +12,8 @@
 use crate::event;
 use crate::events::Event;
 use crate::frame;
+use crate::tenants::quota;
+use crate::tenants::usage;
 use std::io;
 use std::net;
 use std::sync;
@@ -172,6 +174,8 @@
     searchers_fetch_delay: FetchDelay,
     /// The number of changes of clients' timeouts when they were last told, and when that was.
     timeouts_told: Option<(u64, u64)>,
+    /// What the source was told of the use of quotas.
+    usage_reported: quota::Reported,
 }
 
 impl<'a> SourceConnection<'a> {
@@ -183,6 +187,7 @@
             config_fetch_delay: FetchDelay::default(),
             searchers_fetch_delay: FetchDelay::default(),
             timeouts_told: None,
+            usage_reported: quota::Reported::default(),
         }
     }
 
@@ -211,6 +216,10 @@
         let mut members_changed = self.view.members_epoch();
         let mut hello = tokio::time::interval(HELLO_PERIOD);
         hello.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut usage_timer =
+            tokio::time::interval(time::Duration::from_micros(usage::REPORT_PERIOD_US));
+        usage_timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let has_quotas = self.view.quotas().is_some();
         let ended = 'session: loop {
             let mut requests = Vec::new();
             tokio::select! {
@@ -223,6 +232,9 @@
                     requests.push(self.hello());
                     requests.extend(self.client_timeouts());
                 }
+                _ = usage_timer.tick(), if has_quotas && last_hello.is_some() => {
+                    requests.extend(self.usage_report());
+                }
                 _ = members_changed.changed() => {
                     let me = self.view.with_members(|members| members.me().clone());
                     if last_hello.as_ref() != Some(&me) {
@@ -260,6 +272,24 @@
         Some(feed::Request::ClientTimeouts(timeouts))
     }
 
+    /// What to tell the source of the use of quotas; `None` if it knows.
+    fn usage_report(&mut self) -> Option<feed::Request> {
+        let report = self.view.quotas()?.report_due(self.address, &mut self.usage_reported)?;
+        Some(feed::Request::Usage(report))
+    }
+
+    fn apply_usage(&self, levels: &usage::Levels) {
+        let Some(quotas) = self.view.quotas() else {
+            return;
+        };
+        let is_same_region = self.view.with_members(|members| {
+            let live = members.live();
+            let source = live.iter().find(|member| member.control == self.address);
+            source.is_some_and(|source| source.region == members.me().region)
+        });
+        quotas.apply(self.address, is_same_region, levels);
+    }
+
     /// Applies an update. Returns the requests to send to the source.
     fn apply(&mut self, update: feed::Update) -> Vec<feed::Request> {
         match update {
@@ -291,6 +321,7 @@
                     None => return vec![feed::Request::SendConfig],
                 }
             }
+            feed::Update::Usage(levels) => self.apply_usage(&levels),
             // Received updates are decompressed already.
             feed::Update::Compressed(_) => {}
             feed::Update::Heartbeat {
--- a/src/discovery/view.rs
+++ b/src/discovery/view.rs
@@ -10,6 +10,7 @@
 use crate::event;
 use crate::events::Event;
 use crate::locks;
+use crate::tenants::enforcement;
 use std::sync;
 use std::time;
 use tokio::sync::broadcast;
@@ -23,6 +24,8 @@
     table: arc_swap::ArcSwapOption<table::RouteTable>,
     inner: sync::Mutex<Inner>,
     client_wait: sync::Mutex<client_wait::Estimator>,
+    /// Set once at the start if quotas are enforced.
+    quotas: sync::OnceLock<sync::Arc<enforcement::Enforcement>>,
     updates: broadcast::Sender<sync::Arc<feed::Update>>,
     searchers_epoch: watch::Sender<u64>,
     members_epoch: watch::Sender<u64>,
@@ -77,12 +80,23 @@
                 newest_config: config::ConfigVersion::default(),
             }),
             client_wait: sync::Mutex::default(),
+            quotas: sync::OnceLock::new(),
             updates: broadcast::Sender::new(BACKLOG_MAX),
             searchers_epoch: watch::Sender::new(0),
             members_epoch: watch::Sender::new(0),
         }
     }
 
+    /// Enforces quotas from now on; ignored if they are enforced already.
+    pub fn set_quotas(&self, quotas: sync::Arc<enforcement::Enforcement>) {
+        self.quotas.get_or_init(|| quotas);
+    }
+
+    /// The tenants' quotas; `None` if they are not enforced.
+    pub fn quotas(&self) -> Option<&sync::Arc<enforcement::Enforcement>> {
+        self.quotas.get()
+    }
+
     /// The configuration in force with its route index; `None` before the first configuration.
     pub fn table(&self) -> Option<sync::Arc<table::RouteTable>> {
         self.table.load_full()
--- a/src/events.rs
+++ b/src/events.rs
@@ -78,6 +78,14 @@
     RefusedByShutdown = 507,
     /// A request has no key that a tenant holds.
     UnknownKey = 508,
+    /// A request was over its tenant's quota.
+    OverQuota = 520,
+    /// The instance decides on quotas without levels from a hub.
+    QuotaLevelsLost = 521,
+    /// A hub tells the levels again.
+    QuotaLevelsRegained = 522,
+    /// The number of instances whose reports of usage are missing changed.
+    QuotaInstancesLost = 523,
 }
 
 impl Event {
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -28,6 +28,12 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TenantLabels {
+    tenant: String,
+    outcome: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct SendLabels {
     reason: String,
@@ -59,6 +65,7 @@
     registry: registry::Registry,
     requests: Counters<RequestLabels>,
     latency: Latencies,
+    tenant_requests: Counters<TenantLabels>,
     parts_missing: Counters<PriorityLabels>,
     sends: Counters<SendLabels>,
     ends: Counters<EndLabels>,
@@ -84,6 +91,7 @@
             registry: registry::Registry::with_prefix("tarragondoor"),
             requests: Counters::default(),
             latency: Latencies::new_with_constructor(latency),
+            tenant_requests: Counters::default(),
             parts_missing: Counters::default(),
             sends: Counters::default(),
             ends: Counters::default(),
@@ -107,6 +115,11 @@
         let registry = &mut self.registry;
         registry.register("requests", "Requests of clients by outcome", self.requests.clone());
         registry.register("latency_seconds", "Time to the answer", self.latency.clone());
+        registry.register(
+            "tenant_requests",
+            "Requests of tenants with quotas, by what was decided",
+            self.tenant_requests.clone(),
+        );
         registry.register(
             "parts_missing",
             "Parts left out of answers to gathers",
@@ -176,6 +189,12 @@
         }
     }
 
+    /// Counts a request of a tenant with a quota. `tenant` must be one of a bounded number of names.
+    pub fn record_tenant(&self, tenant: &str, outcome: &'static str) {
+        let labels = TenantLabels { tenant: tenant.to_owned(), outcome };
+        self.tenant_requests.get_or_create(&labels).inc();
+    }
+
     /// Counts a send to a searcher.
     pub fn record_send(&self, reason: query::Reason, distance: endpoint::Distance) {
         let labels = SendLabels { reason: reason.to_string(), distance: distance.to_string() };
--- a/src/forward/response.rs
+++ b/src/forward/response.rs
@@ -60,7 +60,16 @@
 
 /// Status 503 with `Retry-After`: the request has not run and will not.
 pub fn refuse(retry_after_ms: u64) -> Response {
-    let mut response = status(http::StatusCode::SERVICE_UNAVAILABLE);
+    refuse_with(http::StatusCode::SERVICE_UNAVAILABLE, retry_after_ms)
+}
+
+/// Status 429 with `Retry-After`: the request is over its tenant's quota, has not run and will not.
+pub fn refuse_over_quota(retry_after_ms: u64) -> Response {
+    refuse_with(http::StatusCode::TOO_MANY_REQUESTS, retry_after_ms)
+}
+
+fn refuse_with(code: http::StatusCode, retry_after_ms: u64) -> Response {
+    let mut response = status(code);
     let seconds = format!("{:.3}", retry_after_ms as f64 / 1_000.0);
     if let Ok(value) = http::HeaderValue::from_str(&seconds) {
         response.headers_mut().insert(http::header::RETRY_AFTER, value);
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -83,6 +83,11 @@
         Self { completion, answered_count, completed_us, query }
     }
 
+    /// Whether the request was sent to any searcher.
+    pub fn was_sent(&self) -> bool {
+        !self.query.sends().is_empty()
+    }
+
     /// Returns the number of sends beyond the first one of each part.
     pub fn extra_count(&self) -> usize {
         let sends = self.query.sends().iter();
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -17,6 +17,7 @@
 use crate::ids;
 use crate::rate_limit;
 use crate::tenants::authentication;
+use crate::tenants::enforcement;
 use bytes::Bytes;
 use compact_str::CompactString;
 use http_body_util::BodyExt as _;
@@ -48,6 +49,8 @@
 /// The most log lines per second for all other requests: several times the number of requests that fail on the
 /// smallest instance in its worst seconds.
 const TROUBLED_LOG_LINES_PER_S: u32 = 300;
+/// The most log lines per second for requests over their tenant's quota: one tenant may send many.
+const OVER_QUOTA_LOG_LINES_PER_S: u32 = 20;
 /// The path on which metrics are served.
 pub const METRICS_PATH: &str = "/metrics";
 
@@ -62,6 +65,7 @@
     connection_count: atomic::AtomicUsize,
     served_log_limit: rate_limit::RateLimit,
     troubled_log_limit: rate_limit::RateLimit,
+    over_quota_log_limit: rate_limit::RateLimit,
 }
 
 /// A request that was answered, for the log and the metrics.
@@ -103,6 +107,7 @@
             connection_count: atomic::AtomicUsize::new(0),
             served_log_limit: rate_limit::RateLimit::new(SERVED_LOG_LINES_PER_S),
             troubled_log_limit: rate_limit::RateLimit::new(TROUBLED_LOG_LINES_PER_S),
+            over_quota_log_limit: rate_limit::RateLimit::new(OVER_QUOTA_LOG_LINES_PER_S),
         }
     }
 
@@ -227,6 +232,10 @@
         if caller == authentication::Caller::Unknown {
             return Ok(self.close_if_stopping(self.refuse_unknown_key(&id, route)));
         }
+        let mut charge = match self.charge(&id, route, caller, arrived_us) {
+            Ok(charge) => charge,
+            Err(response) => return Ok(self.close_if_stopping(*response)),
+        };
         let limits = &table.config.limits;
         let max_bytes = limits.body_max_bytes.max(BODY_LIMIT_MIN_BYTES) as usize;
         let body = match http_body_util::Limited::new(body, max_bytes).collect().await {
@@ -263,6 +272,9 @@
             is_idempotent: spec.is_idempotent,
         };
         let outgoing = sync::Arc::new(outgoing);
+        if let Some(charge) = &mut charge {
+            charge.keep();
+        }
         let report = if spec.is_idempotent {
             self.forwarder.run(spec, outgoing).await
         } else {
@@ -272,6 +284,9 @@
             let running = tokio::spawn(async move { forwarder.run(spec, outgoing).await });
             running.await.map_err(|_| AbortConnection)?
         };
+        if let Some(charge) = charge.filter(|_| !report.was_sent()) {
+            charge.release();
+        }
         let completed_us = clock::now_us();
         let response = self.respond(&report, route);
         let built_us = clock::now_us();
@@ -322,6 +337,58 @@
         response::refuse(retry_after::unready_ms(age_us))
     }
 
+    /// Counts a request against its tenant's quota; `None` if it has none.
+    ///
+    /// # Errors
+    ///
+    /// The response to a request that is over the quota.
+    fn charge(
+        &self,
+        id: &str,
+        route: &config::Route,
+        caller: authentication::Caller<'_>,
+        arrived_us: u64,
+    ) -> Result<Option<enforcement::Charge>, Box<response::Response>> {
+        let authentication::Caller::Tenant(tenant) = caller else {
+            return Ok(None);
+        };
+        let (Some(quotas), Some(limit)) = (self.view.quotas(), tenant.quota) else {
+            return Ok(None);
+        };
+        let metrics = self.forwarder.metrics();
+        let label = quotas.label(&tenant.name);
+        let refusal = match quotas.admit(tenant, limit) {
+            Ok(charge) => {
+                metrics.record_tenant(&label, "admitted");
+                return Ok(Some(charge));
+            }
+            Err(refusal) => refusal,
+        };
+        let now_us = clock::now_us();
+        let latency_s = now_us.saturating_sub(arrived_us) as f64 / 1e6;
+        metrics.record_tenant(&label, "over_quota");
+        metrics.record_answer(caller.priority(route), "over_quota", latency_s, 0);
+        if let Some(left_out) = self.over_quota_log_limit.allow(now_us) {
+            event!(
+                info,
+                Event::OverQuota,
+                request = %id,
+                route = %route.name,
+                tenant = %tenant.name,
+                rate_per_s = limit.rate_per_s,
+                burst = limit.burst,
+                retry_after_ms = refusal.retry_after_ms,
+                is_told = refusal.is_told,
+                level = refusal.told.as_ref().map(|told| told.level),
+                demand_per_s = refusal.told.as_ref().map(|told| told.demand_per_s),
+                share = refusal.told.as_ref().map(|told| told.share),
+                config = self.view.config_version().0,
+                left_out
+            );
+        }
+        Err(Box::new(response::refuse_over_quota(refusal.retry_after_ms)))
+    }
+
     /// Whether the instance stops before it expects to answer the request.
     fn is_refused_by_shutdown(&self, id: &str, spec: &query::Spec) -> bool {
         let Some(last_answer_us) = self.phase.borrow().last_answer_us() else {
--- a/src/node.rs
+++ b/src/node.rs
@@ -15,6 +15,8 @@
 use crate::forward::metrics;
 use crate::forward::run;
 use crate::forward::server;
+use crate::tenants::enforcement;
+use crate::tenants::quota;
 use compact_str::CompactString;
 use error_stack::ResultExt as _;
 use std::net;
@@ -44,6 +46,8 @@
     pub link: Option<pacer::ByteRate>,
     /// The budget of hedges and retries.
     pub budget: budget::Rule,
+    /// The fleet-wide bound on the requests of tenants with quotas; `None` if quotas are not enforced.
+    pub quota: Option<quota::Rule>,
     /// The time from the request to stop until the process is killed.
     pub grace: time::Duration,
 }
@@ -128,6 +132,15 @@
         settings.bounds.config_apply,
     ));
 
+    if let Some(rule) = settings.quota {
+        let me = view.with_members(|members| members.me().control);
+        let has_others = settings.seeds.iter().any(|seed| *seed != me);
+        let quotas = sync::Arc::new(enforcement::Enforcement::new(rule, has_others));
+        view.set_quotas(quotas.clone());
+        let (view, forwarder) = (view.clone(), forwarder.clone());
+        tokio::spawn(async move { quotas.run(view, forwarder).await });
+    }
+
     let listen = settings.listen;
     if let Some(address) = listen.control {
         tokio::spawn(publisher::run(
--- a/src/tenants.rs
+++ b/src/tenants.rs
@@ -2,4 +2,8 @@
 
 pub mod authentication;
 pub mod credentials;
+pub mod enforcement;
+pub mod labels;
+pub mod quota;
 pub mod tenant;
+pub mod usage;
