--- a/src/discovery/feed.rs
+++ b/src/discovery/feed.rs
@@ -8,6 +8,7 @@
 use crate::discovery::registry;
 use crate::frame;
 use crate::placement::evacuation;
+use crate::tenants::usage;
 use flate2::read;
 use flate2::write;
 use serde::{Deserialize, Serialize};
@@ -26,7 +27,7 @@
 
 /// The key of the frames' checksums. The platform gives instances no shared secret, so the checksums detect
 /// corruption and accidental connections from other software, but not forgery.
-pub const FRAME_KEY: [u8; 32] = *b"tarragondoor feed frames, v4\0\0\0\0";
+pub const FRAME_KEY: [u8; 32] = *b"tarragondoor feed frames, v5\0\0\0\0";
 
 /// A message from a subscriber to its source.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -48,6 +49,8 @@
     SendEvacuations,
     /// The longest timeouts that clients have stated to the subscriber.
     ClientTimeouts(Vec<client_wait::LongestTimeout>),
+    /// What the subscriber has admitted of the tenants' quotas.
+    Usage(usage::Report),
 }
 
 /// A message from a source to its subscriber.
@@ -76,6 +79,8 @@
     ClientTimeouts(Vec<client_wait::LongestTimeout>),
     /// The evacuated zones. They go to subscribers in all regions at once, since they are few and rarely change.
     Evacuations(evacuation::Snapshot),
+    /// What the instances have used of the tenants' quotas, for this subscriber.
+    Usage(usage::Levels),
     /// Another update, encoded and compressed.
     Compressed(Vec<u8>),
     /// Sent periodically: how recent the source's state is.
--- a/src/node.rs
+++ b/src/node.rs
@@ -19,6 +19,8 @@
 use crate::forward::run;
 use crate::forward::server;
 use crate::placement::cold;
+use crate::tenants::enforcement;
+use crate::tenants::quota;
 use compact_str::CompactString;
 use error_stack::ResultExt as _;
 use std::net;
@@ -54,6 +56,8 @@
     pub cold: cold::Tolerance,
     /// The rule by which searchers are selected.
     pub routing: routing::Routing,
+    /// The fleet-wide bound on the requests of tenants with quotas; `None` if quotas are not enforced.
+    pub quota: Option<quota::Rule>,
     /// The time from the request to stop until the process is killed.
     pub grace: time::Duration,
 }
@@ -145,6 +149,15 @@
         admission::Admission::new(settings.machine, metrics.clone()),
     ));
 
+    if let Some(rule) = settings.quota {
+        let me = view.with_members(|members| members.me().control);
+        let has_others = settings.seeds.iter().any(|seed| *seed != me);
+        let quotas = sync::Arc::new(enforcement::Enforcement::new(rule, has_others));
+        view.set_quotas(quotas.clone());
+        let (view, forwarder) = (view.clone(), forwarder.clone());
+        tokio::spawn(async move { quotas.run(view, forwarder).await });
+    }
+
     let listen = settings.listen;
     if let Some(address) = listen.control {
         tokio::spawn(publisher::run(
