--- a/src/fair_order/gate.rs
+++ b/src/fair_order/gate.rs
@@ -100,12 +100,12 @@
 }
 
 impl Service {
-    fn is_behind(&self, class: &Class<'_>) -> bool {
-        self.flows.is_behind(class.flow) || self.routes.is_behind(class.route)
+    fn is_underserved(&self, class: &Class<'_>) -> bool {
+        self.flows.is_underserved(class.flow) || self.routes.is_underserved(class.route)
     }
 
     fn place(&self, class: &Class<'_>) -> queue::Place {
-        self.queue.place(class.flow, self.is_behind(class), class.rank, class.timeout_us)
+        self.queue.place(class.flow, self.is_underserved(class), class.rank, class.timeout_us)
     }
 
     fn rank(&mut self, rank: u8) -> &mut Rank {
@@ -134,7 +134,7 @@
         if let Some(limit) = self.window.limit(now_us) {
             room = room.min(limit.saturating_sub(occupancy.in_flight));
         }
-        if !place.is_not_behind {
+        if !place.has_fair_share {
             return room;
         }
         let total = occupancy.in_flight + room;
--- a/src/fair_order/queue.rs
+++ b/src/fair_order/queue.rs
@@ -14,7 +14,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Place {
     /// False for parts whose flow or route was served much less often than all: they go first.
-    pub is_not_behind: bool,
+    pub has_fair_share: bool,
     /// The rank by the tenant's and the route's priority; 0 is the most urgent.
     pub rank: u8,
     /// The class of the remaining time to the deadline when the part arrived: its binary logarithm.
@@ -66,10 +66,10 @@
     }
 
     /// Returns the place that a part of `flow` would get now.
-    pub fn place(&self, flow: &str, is_behind: bool, rank: u8, remaining_us: u64) -> Place {
+    pub fn place(&self, flow: &str, is_underserved: bool, rank: u8, remaining_us: u64) -> Place {
         let finish_us = self.flow_position(flow).map_or(0, |at| self.finish_tags[at].1);
         Place {
-            is_not_behind: !is_behind,
+            has_fair_share: !is_underserved,
             rank,
             deadline_class: remaining_us.max(1).ilog2(),
             start_tag_us: finish_us.max(self.virtual_us),
--- a/src/fair_order/shares.rs
+++ b/src/fair_order/shares.rs
@@ -63,7 +63,7 @@
     }
 
     /// Whether the requests of `name` before the one that has just arrived were served much less often than all.
-    pub fn is_behind(&self, name: &str) -> bool {
+    pub fn is_underserved(&self, name: &str) -> bool {
         let Ok(at) = self.position(name) else {
             return false;
         };
