--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -19,9 +19,8 @@
 use crate::ids;
 use crate::placement::homes;
 use crate::rate_limit;
-use crate::tenants;
+use crate::tenants::access;
 use crate::tenants::authentication;
-use crate::tenants::enforcement;
 use bytes::Bytes;
 use compact_str::CompactString;
 use http_body_util::Full;
@@ -57,10 +56,6 @@
 /// The most log lines per second for all other requests: several times the number of requests that fail on the
 /// smallest instance in its worst seconds.
 const TROUBLED_LOG_LINES_PER_S: u32 = 300;
-/// The most log lines per second for requests without a known key: a sample, since anybody can send them.
-const UNKNOWN_KEY_LOG_LINES_PER_S: u32 = 5;
-/// The most log lines per second for requests over their tenant's quota: one tenant may send many.
-const OVER_QUOTA_LOG_LINES_PER_S: u32 = 20;
 /// The path on which metrics are served.
 pub const METRICS_PATH: &str = "/metrics";
 
@@ -72,12 +67,11 @@
     /// The time within which a configuration has to take effect.
     config_apply: time::Duration,
     admission: admission::Admission,
+    access: access::Access,
     started_us: u64,
     connection_count: atomic::AtomicUsize,
     served_log_limit: rate_limit::RateLimit,
     troubled_log_limit: rate_limit::RateLimit,
-    unknown_key_log_limit: rate_limit::RateLimit,
-    over_quota_log_limit: rate_limit::RateLimit,
 }
 
 /// A request that was answered, for the log and the metrics.
@@ -114,6 +108,7 @@
         admission: admission::Admission,
     ) -> Self {
         Self {
+            access: access::Access::new(view.clone(), forwarder.clone(), config_apply),
             config_apply,
             admission,
             view,
@@ -123,8 +118,6 @@
             connection_count: atomic::AtomicUsize::new(0),
             served_log_limit: rate_limit::RateLimit::new(SERVED_LOG_LINES_PER_S),
             troubled_log_limit: rate_limit::RateLimit::new(TROUBLED_LOG_LINES_PER_S),
-            unknown_key_log_limit: rate_limit::RateLimit::new(UNKNOWN_KEY_LOG_LINES_PER_S),
-            over_quota_log_limit: rate_limit::RateLimit::new(OVER_QUOTA_LOG_LINES_PER_S),
         }
     }
 
@@ -254,20 +247,10 @@
         if id.is_empty() {
             return Ok(self.close_if_stopping(response::status(http::StatusCode::BAD_REQUEST)));
         }
-        let caller = authentication::authenticate(
-            &table.config,
-            &table.credentials,
-            route,
-            &head.headers,
-            &names.credential,
-        );
-        if caller == authentication::Caller::Unknown {
-            let refusal = self.refuse_unknown_key(&id, route, table.config.version);
-            return Ok(self.close_if_stopping(refusal));
-        }
-        let mut charge = match self.charge(&id, route, caller, arrived_us) {
-            Ok(charge) => charge,
-            Err(response) => return Ok(self.close_if_stopping(*response)),
+        let request = access::Request { id: &id, route, headers: &head.headers, arrived_us };
+        let access::Granted { caller, mut charge } = match self.access.check(&table, request) {
+            Ok(granted) => granted,
+            Err(refusal) => return Ok(self.close_if_stopping(*refusal)),
         };
         let limits = &table.config.limits;
         let max_bytes = limits.body_max_bytes.max(BODY_LIMIT_MIN_BYTES) as usize;
@@ -354,82 +337,6 @@
         response::refuse(retry_after::unready_ms(waiting_us))
     }
 
-    /// The response to a request without a key that `version` knows. A configuration that is not known here may have it.
-    fn refuse_unknown_key(
-        &self,
-        id: &str,
-        route: &config::Route,
-        version: config::ConfigVersion,
-    ) -> response::Response {
-        let is_overdue = self.view.is_config_overdue(self.config_apply);
-        let tenants = self.forwarder.metrics().tenants();
-        tenants.record("", tenants::metrics::UNAUTHORIZED);
-        if let Some(left_out) = self.unknown_key_log_limit.allow(clock::now_us()) {
-            event!(
-                info,
-                Event::UnknownKey,
-                request = %id,
-                route = %route.name,
-                config = version.0,
-                is_overdue,
-                left_out
-            );
-        }
-        if !is_overdue {
-            return response::status(http::StatusCode::UNAUTHORIZED);
-        }
-        let age_us = self.view.ages().config_us.unwrap_or(0);
-        response::refuse(retry_after::unready_ms(age_us))
-    }
-
-    /// Counts a request against its tenant's quota; `None` if it has none.
-    ///
-    /// # Errors
-    ///
-    /// The response to a request that is over the quota.
-    fn charge(
-        &self,
-        id: &str,
-        route: &config::Route,
-        caller: authentication::Caller<'_>,
-        arrived_us: u64,
-    ) -> Result<Option<enforcement::Charge>, Box<response::Response>> {
-        let authentication::Caller::Tenant(tenant) = caller else {
-            return Ok(None);
-        };
-        let (Some(quotas), Some(limit)) = (self.view.quotas(), tenant.quota) else {
-            return Ok(None);
-        };
-        let metrics = self.forwarder.metrics();
-        let refusal = match quotas.admit(tenant, limit) {
-            Ok(charge) => return Ok(Some(charge)),
-            Err(refusal) => refusal,
-        };
-        let now_us = clock::now_us();
-        let latency_s = now_us.saturating_sub(arrived_us) as f64 / 1e6;
-        metrics.tenants().record(&tenant.name, "over_quota");
-        metrics.record_answer(caller.priority(route), "over_quota", latency_s, 0);
-        if let Some(left_out) = self.over_quota_log_limit.allow(now_us) {
-            event!(
-                info,
-                Event::OverQuota,
-                request = %id,
-                route = %route.name,
-                tenant = %tenant.name,
-                rate_per_s = limit.rate_per_s,
-                burst = limit.burst,
-                retry_after_ms = refusal.retry_after_ms,
-                is_told = refusal.is_told,
-                level = refusal.told.as_ref().map(|told| told.level),
-                demand_per_s = refusal.told.as_ref().map(|told| told.demand_per_s),
-                share = refusal.told.as_ref().map(|told| told.share),
-                config = self.view.config_version().0,
-                left_out
-            );
-        }
-        Err(Box::new(response::refuse_over_quota(refusal.retry_after_ms)))
-    }
-
     /// Whether the instance stops before it expects to answer the request.
     fn is_refused_by_shutdown(&self, id: &str, spec: &query::Spec) -> bool {
         let Some(last_answer_us) = self.phase.borrow().last_answer_us() else {
--- a/src/tenants.rs
+++ b/src/tenants.rs
@@ -1,5 +1,6 @@
 //! Tenants: the customers' accounts that requests are attributed to, with their keys, quotas and home regions.
 
+pub mod access;
 pub mod authentication;
 pub mod credentials;
 pub mod enforcement;
