--- a/src/discovery/publisher.rs
+++ b/src/discovery/publisher.rs
@@ -86,6 +86,7 @@
         held: None,
         timeouts_told: None,
         wants_levels: None,
+        is_serving: false,
         levels_told: usage::Told::default(),
     };
     if let Err(error) = session.run(received).await {
@@ -263,6 +264,8 @@
     timeouts_told: Option<(u64, u64)>,
     /// Whether the subscriber wants the levels of quotas, and what it was told of them.
     wants_levels: Option<u32>,
+    /// Whether clients are sent to the subscriber; others need no levels.
+    is_serving: bool,
     levels_told: usage::Told,
 }
 
@@ -309,7 +312,7 @@
                     self.send_heartbeat().await?;
                     self.tell_client_timeouts().await?;
                 }
-                _ = usage_timer.tick(), if has_quotas && self.subscriber.is_some() => self.tell_levels().await?,
+                _ = usage_timer.tick(), if has_quotas && self.is_serving => self.tell_levels().await?,
                 () = wait_until(members_at) => self.plan_members()?,
                 () = wait_until(urgent_at) => {
                     let urgent = self.urgent.take();
@@ -528,6 +531,7 @@
 
     fn apply_usage(&mut self, report: &usage::Report) {
         self.wants_levels = report.wants_levels;
+        self.is_serving = report.is_serving;
         if let (Some(quotas), Some(subscriber)) = (self.shared.view.quotas(), &self.subscriber) {
             quotas.report(&subscriber.name, subscriber.boot_ms, report);
         }
--- a/src/discovery/subscriber.rs
+++ b/src/discovery/subscriber.rs
@@ -176,6 +176,8 @@
     timeouts_told: Option<(u64, u64)>,
     /// What the source was told of the use of quotas.
     usage_reported: quota::Reported,
+    /// Whether the source is in this instance's region; `None` until that is known.
+    is_same_region: Option<bool>,
 }
 
 impl<'a> SourceConnection<'a> {
@@ -188,6 +190,7 @@
             searchers_fetch_delay: FetchDelay::default(),
             timeouts_told: None,
             usage_reported: quota::Reported::default(),
+            is_same_region: None,
         }
     }
 
@@ -278,16 +281,18 @@
         Some(feed::Request::Usage(report))
     }
 
-    fn apply_usage(&self, levels: &usage::Levels) {
+    fn apply_usage(&mut self, levels: &usage::Levels) {
         let Some(quotas) = self.view.quotas() else {
             return;
         };
-        let is_same_region = self.view.with_members(|members| {
-            let live = members.live();
-            let source = live.iter().find(|member| member.control == self.address);
-            source.is_some_and(|source| source.region == members.me().region)
-        });
-        quotas.apply(self.address, is_same_region, levels);
+        if self.is_same_region.is_none() {
+            self.is_same_region = self.view.with_members(|members| {
+                let live = members.live();
+                let source = live.iter().find(|member| member.control == self.address)?;
+                Some(source.region == members.me().region)
+            });
+        }
+        quotas.apply(self.address, self.is_same_region.unwrap_or(false), levels);
     }
 
     /// Applies an update. Returns the requests to send to the source.
--- a/src/tenants/enforcement.rs
+++ b/src/tenants/enforcement.rs
@@ -180,12 +180,19 @@
     pub async fn run(&self, view: sync::Arc<view::View>, forwarder: sync::Arc<run::Forwarder>) {
         let mut timer = tokio::time::interval(TICK);
         timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut members_changed = view.members_epoch();
+        members_changed.mark_changed();
+        let me = view.with_members(|members| members.me().clone());
+        let (mut is_hub, mut is_alone) = (false, true);
         loop {
             timer.tick().await;
+            // All members have to be ranked for this, which is much work for a small instance.
+            if members_changed.has_changed().unwrap_or(false) {
+                members_changed.mark_unchanged();
+                (is_hub, is_alone) =
+                    view.with_members(|members| (members.is_hub(), members.live().len() == 1));
+            }
             let active = forwarder.active();
-            let (me, is_hub, is_alone) = view.with_members(|members| {
-                (members.me().clone(), members.is_hub(), members.live().len() == 1)
-            });
             let is_active = active.contains(&me);
             let active_count = active.count() as u32;
             let sharers_min = if is_alone && self.has_others { SHARERS_UNSEEN } else { 1 };
