--- a/src/tenants/quota.rs
+++ b/src/tenants/quota.rs
@@ -34,6 +34,9 @@
 const UNKNOWN_S: f64 = 0.45;
 /// The part of the slack that the credits of all instances may hold beside the burst.
 const CREDIT_SLACK: f64 = 0.9;
+/// The burst that local credits hold at least while a hub tells levels, as a share of the slack: small tenants can't use
+/// up the slack, and need it where their requests arrive unevenly.
+const TOLD_BURST_SLACK: f64 = 0.1;
 /// The credit fills more slowly while the level is negative, and not at all from this part of the slack on.
 const DEBT_SLACK: f64 = 0.25;
 /// The levels that a hub has told are used for this long after its last message.
@@ -71,6 +74,14 @@
         quota.burst + self.slack * CAPACITY_SLACK
     }
 
+    /// The burst that the local credits of all instances together hold while a hub tells levels, which hold it too: what
+    /// the bound leaves beside these, so that a jump of the demand can't use both.
+    fn told_burst(&self, quota: tenant::Quota) -> f64 {
+        let window_s = self.window_us as f64 / 1e6;
+        let used = quota.rate_per_s * window_s + self.capacity(quota) + self.slack * CREDIT_SLACK;
+        (self.bound(quota) - used).max(self.slack * TOLD_BURST_SLACK).min(quota.burst)
+    }
+
     /// The level with which the fleet's bucket starts.
     pub fn initial_level(&self, quota: tenant::Quota) -> f64 {
         (self.slack * INITIAL_SLACK).min(self.capacity(quota))
@@ -176,7 +187,12 @@
             (-f64::from(told.level) / (rule.slack * DEBT_SLACK)).clamp(0.0, 1.0)
         });
         let fill_per_s = limit.rate_per_s * share * (1.0 - debt_share);
-        let credit_max = (rule.slack * CREDIT_SLACK / sharers).min(1.0) + share * limit.burst;
+        // While a hub tells levels, these hold the burst: local credit for it would admit it twice.
+        let burst = match told {
+            Some(_) => rule.told_burst(limit),
+            None => limit.burst,
+        };
+        let credit_max = (rule.slack * CREDIT_SLACK / sharers).min(1.0) + share * burst;
         let elapsed_s = now_us.saturating_sub(entry.credit_us) as f64 / 1e6;
         entry.credit = (entry.credit + elapsed_s * fill_per_s).min(credit_max);
         entry.credit_us = now_us;
