--- a/review/standin-2/src/descriptors.rs
+++ b/review/standin-2/src/descriptors.rs
@@ -15,8 +15,10 @@
 /// The same in a `burst` of `x = 1.7`.
 const BURST: usize = 95;
 const CALM_S: usize = 8;
+/// How long the burst lasts.
+const BURST_S: usize = 3;
 const AFTER_S: usize = 20;
-/// How many requests on new connections are sent, one each half second, from one second after the burst on.
+/// How many requests on new connections are sent, one each half second, from the end of the burst on.
 const NEW_CLIENTS: usize = 20;
 /// The timeout of their route, and half a second.
 const JUDGED_AFTER: time::Duration = time::Duration::from_millis(2_000);
@@ -44,7 +46,7 @@
             connections.extend(more);
         }
         thread::sleep(at.saturating_duration_since(time::Instant::now()));
-        let is_burst = second == CALM_S && has_trouble;
+        let is_burst = (CALM_S..CALM_S + BURST_S).contains(&second) && has_trouble;
         let asking = if is_burst { connections.len() } else { USUAL };
         let searched = crowd::search_at_once(&mut connections[..asking], &[]);
         let is_ready = instance.is_ready(time::Duration::from_millis(400));
@@ -54,7 +56,7 @@
             crowd::statuses(&searched),
             instance.descriptor_count()
         ));
-        if second == CALM_S {
+        if second + 1 == CALM_S + BURST_S {
             let (front, sender) = (instance.front, sender.clone());
             thread::spawn(move || send_new(front, &sender));
         }
