--- a/review/standin-2/src/descriptors.rs
+++ b/review/standin-2/src/descriptors.rs
@@ -1,4 +1,4 @@
-//! Case 7: after one moment with many searches the instance reads no new connection for many seconds.
+//! Case 7: after a short burst of searches the instance accepts no new connection for many seconds.
 
 use crate::client;
 use crate::crowd;
--- a/review/standin-2/src/memory.rs
+++ b/review/standin-2/src/memory.rs
@@ -1,4 +1,4 @@
-//! Case 10: one moment with many searches, whose heads are as long as the limits allow, takes more memory than the machine has.
+//! Case 10: a short burst of searches whose heads are almost as long as the limits allow takes more memory than the machine has.
 
 use crate::crowd;
 use crate::report;
