Bound the sends of all requests by the memory and the descriptors

Callers saw connections that ended without an answer, and new connections that nobody accepted: a burst of searches ended the process for its memory, or left no descriptor for clients until idle connections to searchers expired. Cause: what a request makes of itself was not admitted. A gather becomes a send to each shard, with a connection, its buffers and a copy of the request's head; their number was bounded only by what searchers accept, whatever the machine has. Now all sends of a process share a quarter of the descriptors and 15 % of the memory. Idle connections count and are closed for sends. A request starts once there is room for all of its first sends, waits for at most a quarter of its target latency, and is refused before its body is read if that is known not to be enough. Connections whose buffer a long head has made grow are not kept.

--- a/src/events.rs
+++ b/src/events.rs
@@ -96,6 +96,8 @@
     BodyRefused = 550,
     /// A connection of a client was closed at the limit.
     ConnectionLimit = 551,
+    /// A client's request was refused because its sends have no room.
+    SendRefused = 552,
     /// Waiting requests are put in fair order from now on, or no longer.
     FairOrderChanged = 560,
     /// All searchers of a service were full; what this instance sends to them is limited for a while.
--- a/src/fair_order/turns.rs
+++ b/src/fair_order/turns.rs
@@ -11,11 +11,16 @@
 /// A part waits for a busy searcher for at most the target latency divided by this.
 const WAIT_DIVISOR: u64 = 4;
 
+/// Returns how long a part of a request with this target latency waits for a busy searcher.
+pub fn wait_max_us(target_us: u64) -> u64 {
+    target_us / WAIT_DIVISOR
+}
+
 impl query::Spec {
     /// Returns the time until which a part waits for a busy searcher. It is well before the target latency, so that a
     /// client whose request is refused can still be served in time by another instance.
     pub fn wait_until_us(&self) -> u64 {
-        self.arrived_us + self.target_us / WAIT_DIVISOR
+        self.arrived_us + wait_max_us(self.target_us)
     }
 
     /// Returns what decides the request's place, with the work that is expected at one searcher.
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -24,5 +24,6 @@
 pub mod response;
 pub mod retry_after;
 pub mod run;
+pub mod send_limit;
 pub mod server;
 pub mod shutdown;
--- a/src/forward/admission.rs
+++ b/src/forward/admission.rs
@@ -9,6 +9,7 @@
 use crate::events::Event;
 use crate::forward::metrics;
 use crate::forward::response;
+use crate::forward::send_limit;
 use crate::rate_limit;
 use std::sync;
 use std::time;
@@ -86,10 +87,25 @@
         }
     }
 
+    /// The response to a request whose sends have no room, and the record of it.
+    pub fn refuse_send(
+        &self,
+        request: &str,
+        need: send_limit::Need,
+        retry_after_ms: u64,
+    ) -> response::Response {
+        self.metrics.record_admission("send_refused");
+        if let Some(left_out) = self.log_limit.allow(clock::now_us()) {
+            let send_limit::Need { count, head_bytes, .. } = need;
+            event!(info, Event::SendRefused, %request, count, head_bytes, retry_after_ms, left_out);
+        }
+        response::refuse(retry_after_ms)
+    }
+
     /// The response to a request whose body was not read, and the record of it; `None` if the client is gone. The
     /// request was not sent anywhere, and the connection can't be used again.
     pub fn refuse(&self, request: &str, failure: &body::Failure) -> Option<response::Response> {
-        let (outcome, mut response) = match failure {
+        let (outcome, response) = match failure {
             body::Failure::Connection(error) => {
                 tracing::debug!(%request, %error, "failed to read the request body");
                 return None;
@@ -103,13 +119,18 @@
                 ("body_stalled", response::status(http::StatusCode::REQUEST_TIMEOUT))
             }
         };
-        let close = http::HeaderValue::from_static("close");
-        response.headers_mut().insert(http::header::CONNECTION, close);
         self.metrics.record_admission(outcome);
         if let Some(left_out) = self.log_limit.allow(clock::now_us()) {
             let used_bytes = self.bodies.used_bytes();
             event!(info, Event::BodyRefused, %request, outcome, used_bytes, left_out);
         }
-        Some(response)
+        Some(closing(response))
     }
 }
+
+/// Makes the response the last one of its connection: the rest of the request is not read.
+pub fn closing(mut response: response::Response) -> response::Response {
+    let close = http::HeaderValue::from_static("close");
+    response.headers_mut().insert(http::header::CONNECTION, close);
+    response
+}
--- a/src/forward/admission/connections.rs
+++ b/src/forward/admission/connections.rs
@@ -19,9 +19,11 @@
 
 /// Descriptors that are kept for files.
 const RESERVED_DESCRIPTORS: usize = 200;
-/// Of the other descriptors, clients that send requests may have one in so many; the rest is for searchers, other
-/// instances and the store.
+/// Of the other descriptors, clients that send requests may have one in so many. What the three divisors leave is for
+/// other instances and the store.
 const CLIENTS_DIVISOR: usize = 2;
+/// Connections to searchers may use one in so many.
+const SEARCHERS_DIVISOR: usize = 4;
 /// Clients that ask for addresses may have one in so many.
 const DIRECTORY_DIVISOR: usize = 8;
 /// The memory of a connection: its read buffer, which holds a whole request head, and its task.
@@ -43,6 +45,13 @@
     })
 }
 
+/// The most connections to searchers. `None` for descriptors that are not stated: any number.
+pub fn searchers_max(descriptors_max: Option<usize>) -> usize {
+    descriptors_max.map_or(usize::MAX, |descriptors_max| {
+        (descriptors_max.saturating_sub(RESERVED_DESCRIPTORS) / SEARCHERS_DIVISOR).max(1)
+    })
+}
+
 /// What a connection does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u8)]
--- a/src/forward/admission/memory.rs
+++ b/src/forward/admission/memory.rs
@@ -7,10 +7,11 @@
 
 /// The most memory for answers of searchers that are being received. Machines with 160 MB and more have this much.
 const ANSWERS_MAX_BYTES: u64 = 48 << 20;
-/// The shares of the machine's memory; the rest, a third, is for the process itself.
+/// The shares of the machine's memory; the rest is for the process itself.
 const ANSWERS_SHARE: f64 = 0.3;
 const BODIES_SHARE: f64 = 0.15;
 const CONNECTIONS_SHARE: f64 = 0.2;
+const SENDS_SHARE: f64 = 0.15;
 /// The memory that is assumed if the settings don't state it: that of the largest machines.
 const MEMORY_DEFAULT_BYTES: u64 = 512 << 20;
 /// Bodies of up to this size may use the whole pool, larger ones [`LARGE_SHARE`] of it.
@@ -41,6 +42,8 @@
     pub bodies_bytes: usize,
     /// For clients' connections: their read buffers and tasks.
     pub connections_bytes: usize,
+    /// For sends to searchers: their connections and the copies of requests' heads.
+    pub sends_bytes: usize,
 }
 
 impl Budget {
@@ -52,6 +55,7 @@
             answers_bytes: answers as usize,
             bodies_bytes: (total * BODIES_SHARE) as usize,
             connections_bytes: (total * CONNECTIONS_SHARE) as usize,
+            sends_bytes: (total * SENDS_SHARE) as usize,
         }
     }
 }
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -40,6 +40,8 @@
 /// The largest request body after which a connection is reused. A searcher may answer before it has read all
 /// of a larger body, and would take the rest for the next request.
 const REUSE_BODY_MAX_BYTES: usize = 8 << 10;
+/// The largest request head after which a connection is reused. The buffer for a larger one would be kept with it.
+const REUSE_HEAD_MAX_BYTES: usize = 6 << 10;
 /// A request is not sent if less time than this is left until its deadline.
 const REMAINING_MIN_US: u64 = 2_000;
 
@@ -52,6 +54,8 @@
     pub uri: http::Uri,
     /// The client's headers that are forwarded.
     pub headers: http::HeaderMap,
+    /// The length of the head that the client sent.
+    pub head_bytes: usize,
     /// The body.
     pub body: Bytes,
     /// The request id assigned by the client.
@@ -178,7 +182,9 @@
     let result = read_answer(response, endpoint, outgoing, headers, buffer, sent_us).await;
     match result {
         Ok((result, terms)) => {
-            if outgoing.body.len() <= REUSE_BODY_MAX_BYTES {
+            if outgoing.body.len() <= REUSE_BODY_MAX_BYTES
+                && outgoing.head_bytes <= REUSE_HEAD_MAX_BYTES
+            {
                 // A late copy of an answer may still arrive after any number of others.
                 let terms = ReuseTerms {
                     is_identified: terms.is_identified && connection.is_identified,
--- a/src/forward/balancer.rs
+++ b/src/forward/balancer.rs
@@ -17,6 +17,7 @@
 use crate::fair_order::gate;
 use crate::forward::endpoint;
 use crate::forward::limit;
+use crate::forward::send_limit;
 use crate::ids;
 use crate::placement::cold;
 use crate::placement::homes;
@@ -249,6 +250,7 @@
     evacuated: Vec<CompactString>,
     cold_shares: cold::Shares,
     cold_tolerance: cold::Tolerance,
+    send_limit: sync::Arc<send_limit::SendLimit>,
     routing: routing::Routing,
     /// Used only with [`routing::Routing::ExpectedWork`].
     costs: cost::Model,
@@ -281,6 +283,16 @@
         Self { regions, ..Self::default() }
     }
 
+    /// Bounds the sends to all searchers together, and the connections to those that are added from now on.
+    pub fn set_send_limit(&mut self, send_limit: send_limit::SendLimit) {
+        self.send_limit = send_limit.into();
+    }
+
+    /// The bound on the sends to all searchers together.
+    pub fn send_limit(&self) -> &sync::Arc<send_limit::SendLimit> {
+        &self.send_limit
+    }
+
     /// Sets the rule by which searchers are selected.
     pub fn set_routing(&mut self, routing: routing::Routing) {
         self.routing = routing;
@@ -369,8 +381,12 @@
                 None => {
                     let region = self.region_of(&searcher.domain).into();
                     let distance = distance(&searcher.domain);
-                    let endpoint =
-                        endpoint::Endpoint::new(record.id.clone(), searcher.clone(), distance);
+                    let endpoint = endpoint::Endpoint::new(
+                        record.id.clone(),
+                        searcher.clone(),
+                        distance,
+                        self.send_limit.clone(),
+                    );
                     Entry {
                         endpoint: sync::Arc::new(endpoint),
                         region,
@@ -652,6 +668,19 @@
         self.entries.iter().map(|entry| entry.endpoint.connection_count()).sum()
     }
 
+    /// Closes idle connections, those that expire first, until the sends in progress may each have a connection.
+    pub fn close_excess_idle(&self) {
+        for _ in 0..self.send_limit.excess_idle_count() {
+            let expiring = self.entries.iter().filter_map(|entry| {
+                Some((entry.endpoint.oldest_idle_expires_us()?, &entry.endpoint))
+            });
+            let Some((_, endpoint)) = expiring.min_by_key(|(expires_us, _)| *expires_us) else {
+                return;
+            };
+            endpoint.close_oldest_idle();
+        }
+    }
+
     /// Closes expired idle connections.
     pub fn sweep(&self) {
         for entry in &self.entries {
--- a/src/forward/endpoint.rs
+++ b/src/forward/endpoint.rs
@@ -8,6 +8,7 @@
 use crate::forward::connection_limit;
 use crate::forward::limit;
 use crate::forward::read_limit;
+use crate::forward::send_limit;
 use crate::locks;
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -56,6 +57,7 @@
     /// Whether all answers on it had the ids of their requests, so that a late copy of one can be told from the answer to
     /// the next request.
     pub is_identified: bool,
+    _counted: send_limit::IdleGuard,
 }
 
 /// One process of a searcher at one address; a restarted searcher gets a new endpoint.
@@ -66,6 +68,7 @@
     pub searcher: registry::Searcher,
     /// How far away it is.
     pub distance: Distance,
+    send_limit: sync::Arc<send_limit::SendLimit>,
     idle: sync::Mutex<Vec<IdleConnection>>,
     connection_count: atomic::AtomicUsize,
     connection_limit: sync::Mutex<connection_limit::ConnectionLimit>,
@@ -78,12 +81,18 @@
 }
 
 impl Endpoint {
-    /// Creates an endpoint without connections.
-    pub fn new(id: CompactString, searcher: registry::Searcher, distance: Distance) -> Self {
+    /// Creates an endpoint without connections. Its idle connections count in `send_limit`.
+    pub fn new(
+        id: CompactString,
+        searcher: registry::Searcher,
+        distance: Distance,
+        send_limit: sync::Arc<send_limit::SendLimit>,
+    ) -> Self {
         Self {
             id,
             searcher,
             distance,
+            send_limit,
             idle: sync::Mutex::default(),
             connection_count: atomic::AtomicUsize::new(0),
             connection_limit: sync::Mutex::default(),
@@ -128,9 +137,23 @@
             allowance,
             expires_us,
             is_identified,
+            _counted: self.send_limit.hold_idle(),
         });
     }
 
+    /// The time at which the connection that has been idle longest expires; `None` if there is none.
+    pub fn oldest_idle_expires_us(&self) -> Option<u64> {
+        locks::lock(&self.idle).first().map(|idle| idle.expires_us)
+    }
+
+    /// Closes the connection that has been idle longest.
+    pub fn close_oldest_idle(&self) {
+        let mut idle = locks::lock(&self.idle);
+        if !idle.is_empty() {
+            idle.remove(0);
+        }
+    }
+
     /// Drops idle connections that have expired or are closed.
     pub fn sweep(&self) {
         let now_us = clock::now_us();
--- a/src/forward/header.rs
+++ b/src/forward/header.rs
@@ -42,6 +42,17 @@
     forwarded
 }
 
+/// About how long a request's head is on the wire.
+pub fn head_bytes(head: &http::request::Parts) -> usize {
+    /// The separators around a header's name and value.
+    const SEPARATORS_BYTES: usize = 4;
+    let target_bytes = head.uri.path_and_query().map_or(0, |target| target.as_str().len());
+    let headers = head.headers.iter();
+    let header_bytes =
+        headers.map(|(name, value)| name.as_str().len() + value.len() + SEPARATORS_BYTES);
+    target_bytes + header_bytes.sum::<usize>()
+}
+
 /// The names in the `Connection` header, in lower case: the headers with these names are hop-by-hop.
 pub fn connection_options(headers: &http::HeaderMap) -> Vec<CompactString> {
     let mut options = Vec::new();
--- a/src/forward/query.rs
+++ b/src/forward/query.rs
@@ -16,6 +16,7 @@
 use crate::forward::endpoint;
 use crate::forward::latency;
 use crate::forward::retry_after;
+use crate::forward::send_limit;
 use crate::ids;
 use crate::placement::homes;
 use bytes::Bytes;
@@ -113,6 +114,8 @@
     /// The median processing time of the route, or the expected work of the request, see
     /// [`balancer::Balancer::expected_work_us`].
     pub median_processing_us: u64,
+    /// Its share of what all sends together may hold, until it ends.
+    pub held: send_limit::SendGuard,
 }
 
 /// How a query ends.
@@ -224,6 +227,9 @@
 pub struct Query {
     spec: sync::Arc<Spec>,
     size: cost::RequestSize,
+    head_bytes: usize,
+    /// While the query waits for room for its first sends.
+    waiting_for_room: Option<send_limit::WaitGuard>,
     parts: Vec<Part>,
     sends: Vec<SendRecord>,
     may_have_run: bool,
@@ -242,6 +248,8 @@
         Self {
             spec,
             size: cost::RequestSize::default(),
+            head_bytes: 0,
+            waiting_for_room: None,
             parts,
             sends: Vec::new(),
             may_have_run: false,
@@ -261,6 +269,11 @@
         self.size
     }
 
+    /// Sets the length of the request's head, which each send copies.
+    pub fn set_head_bytes(&mut self, head_bytes: usize) {
+        self.head_bytes = head_bytes;
+    }
+
     /// Returns what the query has to do.
     pub fn spec(&self) -> &sync::Arc<Spec> {
         &self.spec
@@ -334,6 +347,14 @@
             }
             return Vec::new();
         }
+        if !self.has_room_to_start(context) {
+            let need = self.need(self.parts.len());
+            self.waiting_for_room = Some(context.balancer.send_limit().wait(need));
+            for part in &mut self.parts {
+                part.waiting = Some(Reason::First);
+            }
+            return Vec::new();
+        }
         let mut sends = Vec::with_capacity(self.parts.len());
         for part_index in 0..self.parts.len() {
             sends.extend(self.plan_send_or_wait(now_us, context, part_index, Reason::First));
@@ -341,6 +362,14 @@
         sends
     }
 
+    fn need(&self, count: usize) -> send_limit::Need {
+        send_limit::Need { count, head_bytes: self.head_bytes, priority: self.spec.priority }
+    }
+
+    fn has_room_to_start(&self, context: &Context<'_>) -> bool {
+        context.balancer.send_limit().has_room(self.need(self.parts.len()))
+    }
+
     /// Records the end of the send with this number. Returns the sends to make in response.
     pub fn record_end(
         &mut self,
@@ -439,6 +468,12 @@
 
     /// Handles the passing of time. Returns the hedges that are due and the sends that had to wait.
     pub fn tick(&mut self, now_us: u64, context: &mut Context<'_>) -> Vec<Send> {
+        if self.waiting_for_room.is_some() {
+            if now_us < self.spec.wait_until_us() && !self.has_room_to_start(context) {
+                return Vec::new();
+            }
+            self.waiting_for_room = None;
+        }
         let mut sends = Vec::new();
         for part_index in 0..self.parts.len() {
             if let Some(reason) = self.parts[part_index].waiting.take() {
@@ -556,11 +591,16 @@
         reason: Reason,
     ) -> Result<Send, PartFailure> {
         let route = &self.spec.route;
+        let priority = self.spec.priority;
         let median_processing_us = context.latencies.median_us(route);
         let median_processing_us =
             context.balancer.expected_work_us(now_us, route, self.size, median_processing_us);
         let part = &mut self.parts[part_index];
         let service = &self.spec.services[part_index];
+        let need = send_limit::Need { count: 1, head_bytes: self.head_bytes, priority };
+        if !context.balancer.send_limit().has_room(need) {
+            return Err(PartFailure::Busy);
+        }
         if !context.takes_turn(now_us, &self.spec, service, part, reason) {
             return Err(PartFailure::Busy);
         }
@@ -568,7 +608,6 @@
             Reason::First => self.spec.target_us / CROSS_REGION_PENALTY_DIVISOR,
             Reason::Hedge | Reason::Retry | Reason::Reconnect => 0,
         };
-        let priority = self.spec.priority;
         let profile = balancer::RequestProfile {
             median_processing_us,
             priority,
@@ -588,6 +627,8 @@
             return Err(PartFailure::NoBudget);
         }
         let choice = context.start_send(now_us, &self.spec, service, part, candidate);
+        let held = context.balancer.send_limit().start_send(self.head_bytes);
+        context.balancer.close_excess_idle();
         part.tried.push(choice.endpoint.id.clone());
         part.in_flight += 1;
         part.possibly_run += 1;
@@ -602,7 +643,7 @@
             sent_us: now_us,
             ended: None,
         });
-        Ok(Send { number, choice, median_processing_us })
+        Ok(Send { number, choice, median_processing_us, held })
     }
 }
 
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -22,6 +22,7 @@
 use crate::forward::limit;
 use crate::forward::metrics;
 use crate::forward::query;
+use crate::forward::send_limit;
 use crate::forward::shutdown;
 use crate::ids;
 use crate::locks;
@@ -162,6 +163,12 @@
         }
     }
 
+    /// Bounds the sends to all searchers together.
+    pub fn with_send_limit(self, send_limit: send_limit::SendLimit) -> Self {
+        locks::lock(&self.shared).balancer.set_send_limit(send_limit);
+        self
+    }
+
     /// Sets the rule by which searchers are selected.
     pub fn with_routing(self, routing: routing::Routing) -> Self {
         locks::lock(&self.shared).balancer.set_routing(routing);
@@ -366,6 +373,14 @@
         shutdown::expected_duration_us(spec, processing_us)
     }
 
+    /// Returns how long the first sends of a request on `route` are expected to wait for room, see
+    /// [`send_limit::SendLimit::expected_wait_us`].
+    pub fn expected_wait_us(&self, route: &config::Route, need: send_limit::Need) -> u64 {
+        let shared = locks::lock(&self.shared);
+        let processing_us = shared.latencies.median_us(&route.name);
+        shared.balancer.send_limit().expected_wait_us(need, processing_us)
+    }
+
     /// Runs a query to completion. If the future is dropped, the sends of an idempotent request end shortly
     /// after.
     pub async fn run(
@@ -375,6 +390,7 @@
     ) -> Report {
         let mut query = query::Query::new(spec);
         query.set_size(cost::RequestSize::of(&outgoing.body));
+        query.set_head_bytes(outgoing.head_bytes);
         let (end_sender, mut end_receiver) = mpsc::unbounded_channel();
         let mut limit = self.last_answer_us.subscribe();
         let first = self.decide(|now_us, context| query.start(now_us, context));
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -6,6 +6,7 @@
 use crate::discovery::view;
 use crate::event;
 use crate::events::Event;
+use crate::fair_order::turns;
 use crate::forward::admission;
 use crate::forward::admission::connections;
 use crate::forward::attempt;
@@ -15,6 +16,7 @@
 use crate::forward::response;
 use crate::forward::retry_after;
 use crate::forward::run;
+use crate::forward::send_limit;
 use crate::forward::shutdown;
 use crate::ids;
 use crate::placement::homes;
@@ -252,6 +254,16 @@
             Ok(granted) => granted,
             Err(refusal) => return Ok(self.close_if_stopping(*refusal)),
         };
+        let head_bytes = header::head_bytes(&head);
+        let priority = caller.priority(route);
+        let need = send_limit::Need { count: route.target.parts(), head_bytes, priority };
+        if let Some(response) = self.refuse_without_room(&id, route, need) {
+            let response = match body.is_end_stream() {
+                true => response,
+                false => admission::closing(response),
+            };
+            return Ok(self.close_if_stopping(response));
+        }
         let limits = &table.config.limits;
         let max_bytes = limits.body_max_bytes.max(BODY_LIMIT_MIN_BYTES) as usize;
         let body = admission::body::read(body, max_bytes, &self.admission.bodies, open).await;
@@ -268,7 +280,6 @@
             self.forwarder.waited_us(route, deadline_ms.saturating_mul(1_000))
         });
         let margin_us = self.forwarder.answer_margin_us();
-        let priority = caller.priority(route);
         let homes = homes::Homes::of(route, caller.tenant());
         let tenant = CompactString::from(caller.tenant_name().unwrap_or_default());
         let spec = query::Spec {
@@ -286,6 +297,7 @@
             method: head.method,
             uri: header::origin_form(&head.uri),
             headers: header::forwarded(&head.headers, names, caller),
+            head_bytes,
             body,
             id: id.clone(),
             deadline_us: arrived_us + timeout_us,
@@ -337,6 +349,22 @@
         response::refuse(retry_after::unready_ms(waiting_us))
     }
 
+    /// The response to a request that could not be sent in time, since the sends of others use up what all sends together
+    /// may hold; `None` if it may be.
+    fn refuse_without_room(
+        &self,
+        id: &str,
+        route: &config::Route,
+        need: send_limit::Need,
+    ) -> Option<response::Response> {
+        let wait_us = self.forwarder.expected_wait_us(route, need);
+        if wait_us <= turns::wait_max_us(route.target_latency_ms * 1_000) {
+            return None;
+        }
+        let retry_after_ms = retry_after::unavailable_ms(wait_us / 1_000, need.priority);
+        Some(self.admission.refuse_send(id, need, retry_after_ms))
+    }
+
     /// Whether the instance stops before it expects to answer the request.
     fn is_refused_by_shutdown(&self, id: &str, spec: &query::Spec) -> bool {
         let Some(last_answer_us) = self.phase.borrow().last_answer_us() else {
--- a/src/node.rs
+++ b/src/node.rs
@@ -12,11 +12,13 @@
 use crate::events::Event;
 use crate::expected_work::routing;
 use crate::forward::admission;
+use crate::forward::admission::connections;
 use crate::forward::admission::memory;
 use crate::forward::budget;
 use crate::forward::dialect;
 use crate::forward::metrics;
 use crate::forward::run;
+use crate::forward::send_limit;
 use crate::forward::server;
 use crate::placement::cold;
 use crate::tenants::enforcement;
@@ -140,7 +142,11 @@
     );
     forwarder.set_cold_tolerance(settings.cold);
     let budget = memory::Budget::new(settings.machine.memory_bytes);
-    let forwarder = forwarder.with_answers_max(budget.answers_bytes).with_routing(settings.routing);
+    let connections_max = connections::searchers_max(settings.machine.descriptors_max);
+    let forwarder = forwarder
+        .with_answers_max(budget.answers_bytes)
+        .with_send_limit(send_limit::SendLimit::new(connections_max, budget.sends_bytes))
+        .with_routing(settings.routing);
     let forwarder = sync::Arc::new(forwarder);
     let server = sync::Arc::new(server::Server::new(
         view.clone(),
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -45,6 +45,31 @@
     }
 }
 
+/// The same with the sends to searchers, whose connections had been in no share.
+#[test]
+fn all_shares_leave_a_seventh_of_the_memory_to_the_process() {
+    for memory_mb in [64, 112, 160, 512_u64] {
+        let budget = memory::Budget::new(Some(memory_mb << 20));
+        let shares = budget.answers_bytes
+            + budget.bodies_bytes
+            + budget.connections_bytes
+            + budget.sends_bytes;
+        assert!(shares as f64 <= (memory_mb << 20) as f64 * 6.0 / 7.0, "{budget:?}");
+    }
+}
+
+/// Guards against connections that together are more than the descriptors.
+#[test]
+fn connections_of_all_kinds_leave_descriptors_to_other_instances_and_the_store() {
+    for descriptors in [400, 2_870, 8_192] {
+        let clients = connections::clients_max(Some(descriptors), usize::MAX);
+        let directory = connections::directory_max(Some(descriptors));
+        let searchers = connections::searchers_max(Some(descriptors));
+        let left = descriptors - 200 - clients - directory - searchers;
+        assert!(left >= (descriptors - 200) / 8, "{left} of {descriptors}");
+    }
+}
+
 /// Guards against large bodies that leave no memory for ordinary ones.
 #[test]
 fn large_bodies_leave_room_for_small_ones() {
--- a/tests/forward_run.rs
+++ b/tests/forward_run.rs
@@ -109,6 +109,7 @@
     let now_us = clock::now_us();
     let spec = query::Spec { arrived_us: now_us, ..single(true) };
     let outgoing = attempt::OutgoingRequest {
+        head_bytes: 100,
         method: http::Method::GET,
         uri: http::Uri::from_static("/claim/1"),
         headers: [(http::header::HOST, http::HeaderValue::from_static("h.example"))]
