Bound the heads of requests for addresses

Anybody may connect to the directory's port. Requests there had the HTTP library's own bound of 400 KB for a head, and an eighth of the descriptors for connections: 333 heads that stop short of their end are more than the smallest machine has. The process ended, and its clients' requests with it. The ports for readiness and metrics had the same bound. Heads on these ports now have the bound that requests for searchers have while no configuration is known, 20 KiB.

--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -48,7 +48,7 @@
 const BODY_LIMIT_MIN_BYTES: u64 = 256 << 10;
 /// The smallest buffer that hyper accepts for a request's head.
 const HEAD_BUFFER_MIN_BYTES: usize = 8 << 10;
-/// The size of the largest head while no configuration is known.
+/// The size of the largest head while no configuration is known, and on ports that take no requests for searchers.
 const HEAD_DEFAULT_BYTES: usize = 16 << 10;
 /// The room in that buffer besides the largest head that is allowed.
 const HEAD_BUFFER_MARGIN_BYTES: usize = 4 << 10;
@@ -190,9 +190,7 @@
         let mut builder = http1::Builder::new();
         builder.timer(TokioTimer::new());
         builder.header_read_timeout(time::Duration::from_millis(idle_ms));
-        let head_bytes =
-            limits.map_or(HEAD_DEFAULT_BYTES, |limits| limits.header_max_bytes as usize);
-        builder.max_buf_size((head_bytes + HEAD_BUFFER_MARGIN_BYTES).max(HEAD_BUFFER_MIN_BYTES));
+        builder.max_buf_size(head_buffer_bytes(limits));
         let stream = connections::Watched::new(stream, open.clone());
         let mut connection = Box::pin(builder.serve_connection(TokioIo::new(stream), service));
         let mut phase = self.phase.subscribe();
@@ -542,6 +540,12 @@
     }
 }
 
+/// The size of the buffer for a request's head.
+fn head_buffer_bytes(limits: Option<config::Limits>) -> usize {
+    let head_bytes = limits.map_or(HEAD_DEFAULT_BYTES, |limits| limits.header_max_bytes as usize);
+    (head_bytes + HEAD_BUFFER_MARGIN_BYTES).max(HEAD_BUFFER_MIN_BYTES)
+}
+
 /// Waits for [`shutdown::Phase::Closing`].
 async fn wait_for_closing(phase: &mut watch::Receiver<shutdown::Phase>) {
     // Fails only if the `Server` was dropped, which happens at the end of the process.
@@ -582,6 +586,7 @@
             let mut builder = http1::Builder::new();
             builder.timer(TokioTimer::new());
             builder.header_read_timeout(time::Duration::from_millis(IDLE_TIMEOUT_DEFAULT_MS));
+            builder.max_buf_size(head_buffer_bytes(None));
             let connection = builder.serve_connection(TokioIo::new(stream), service);
             let closing = async {
                 match &open {
