Count clients' connections, bodies and sends in one account

With separate shares sends had 15 % of the memory and a quarter of the descriptors even while nothing else was in use. Larger shares would not have added up. Clients' connections, bodies and sends now count in one account of 55 % of the memory and seven eighths of the descriptors. Each has a bound of its own, more than a static share could be, so that one of them can use what the others leave, and a mixed crowd can't use up one after the other. Idle connections to searchers are closed for whatever needs what they hold. A request that finds no room in time fails as a whole in place of sending some of its parts. The directory's connections are bounded by memory as well.

--- a/src/forward/admission.rs
+++ b/src/forward/admission.rs
@@ -34,16 +34,21 @@
 }
 
 impl Admission {
-    /// Creates the limits of a process on `machine`.
-    pub fn new(machine: memory::Machine, metrics: sync::Arc<metrics::Metrics>) -> Self {
+    /// Creates the limits of a process on `machine`, whose memory counts in `account`.
+    pub fn new(
+        machine: memory::Machine,
+        account: &sync::Arc<memory::Account>,
+        metrics: sync::Arc<metrics::Metrics>,
+    ) -> Self {
         let budget = memory::Budget::new(machine.memory_bytes);
         let clients_max =
             connections::clients_max(machine.descriptors_max, budget.connections_bytes);
-        let directory_max = connections::directory_max(machine.descriptors_max);
+        let directory_max =
+            connections::directory_max(machine.descriptors_max, budget.directory_bytes);
         Self {
-            bodies: sync::Arc::new(memory::Pool::new(budget.bodies_bytes)),
-            clients: sync::Arc::new(connections::Limit::new(clients_max)),
-            directory: sync::Arc::new(connections::Limit::new(directory_max)),
+            bodies: sync::Arc::new(memory::Pool::within(account.clone(), budget.bodies_bytes)),
+            clients: sync::Arc::new(connections::Limit::within(account.clone(), clients_max)),
+            directory: sync::Arc::new(connections::Limit::within(account.clone(), directory_max)),
             metrics,
             log_limit: rate_limit::RateLimit::new(LOG_LINES_PER_S),
         }
--- a/src/forward/admission/connections.rs
+++ b/src/forward/admission/connections.rs
@@ -6,6 +6,7 @@
 //! crowd of idle ones keep everybody else out.
 
 use crate::clock;
+use crate::forward::admission::memory;
 use crate::locks;
 use std::io;
 use std::pin;
@@ -19,36 +20,51 @@
 
 /// Descriptors that are kept for files.
 const RESERVED_DESCRIPTORS: usize = 200;
-/// Of the other descriptors, clients that send requests may have one in so many. What the three divisors leave is for
-/// other instances and the store.
+/// One in so many of the other descriptors is for other instances and the store.
+const INSTANCES_DIVISOR: usize = 8;
+/// Clients that send requests may have one in so many.
 const CLIENTS_DIVISOR: usize = 2;
-/// Connections to searchers may use one in so many.
-const SEARCHERS_DIVISOR: usize = 4;
+/// Connections to searchers leave one in so many to all others.
+const SEARCHERS_KEPT_DIVISOR: usize = 4;
 /// Clients that ask for addresses may have one in so many.
 const DIRECTORY_DIVISOR: usize = 8;
 /// The memory of a connection: its read buffer, which holds a whole request head, and its task.
 const CONNECTION_BYTES: usize = 24 << 10;
+const CONNECTION: memory::Usage = memory::Usage { bytes: CONNECTION_BYTES, connections: 1 };
 
 /// The most connections of clients that send requests. `None` for descriptors that are not stated: any number.
 pub fn clients_max(descriptors_max: Option<usize>, memory_bytes: usize) -> usize {
+    connections_max(descriptors_max, CLIENTS_DIVISOR, memory_bytes)
+}
+
+/// The most connections of clients that ask for addresses.
+pub fn directory_max(descriptors_max: Option<usize>, memory_bytes: usize) -> usize {
+    connections_max(descriptors_max, DIRECTORY_DIVISOR, memory_bytes)
+}
+
+fn connections_max(descriptors_max: Option<usize>, divisor: usize, memory_bytes: usize) -> usize {
     let Some(descriptors_max) = descriptors_max else {
         return usize::MAX;
     };
-    let by_descriptors = descriptors_max.saturating_sub(RESERVED_DESCRIPTORS) / CLIENTS_DIVISOR;
+    let by_descriptors = descriptors_max.saturating_sub(RESERVED_DESCRIPTORS) / divisor;
     by_descriptors.min(memory_bytes / CONNECTION_BYTES).max(1)
 }
 
-/// The most connections of clients that ask for addresses.
-pub fn directory_max(descriptors_max: Option<usize>) -> usize {
-    descriptors_max.map_or(usize::MAX, |descriptors_max| {
-        (descriptors_max.saturating_sub(RESERVED_DESCRIPTORS) / DIRECTORY_DIVISOR).max(1)
-    })
+/// The most connections to searchers.
+pub fn searchers_max(descriptors_max: Option<usize>) -> usize {
+    all_but(descriptors_max, SEARCHERS_KEPT_DIVISOR)
 }
 
-/// The most connections to searchers. `None` for descriptors that are not stated: any number.
-pub fn searchers_max(descriptors_max: Option<usize>) -> usize {
+/// The most connections of clients and to searchers together.
+pub fn all_max(descriptors_max: Option<usize>) -> usize {
+    all_but(descriptors_max, INSTANCES_DIVISOR)
+}
+
+/// All descriptors but one in `divisor`; any number if they are not stated.
+fn all_but(descriptors_max: Option<usize>, divisor: usize) -> usize {
     descriptors_max.map_or(usize::MAX, |descriptors_max| {
-        (descriptors_max.saturating_sub(RESERVED_DESCRIPTORS) / SEARCHERS_DIVISOR).max(1)
+        let descriptors = descriptors_max.saturating_sub(RESERVED_DESCRIPTORS);
+        (descriptors - descriptors / divisor).max(1)
     })
 }
 
@@ -101,6 +117,7 @@
 #[derive(Debug)]
 pub struct Limit {
     max: usize,
+    account: sync::Arc<memory::Account>,
     connections: sync::Mutex<Connections>,
 }
 
@@ -128,7 +145,12 @@
 impl Limit {
     /// Creates a limit of `max` connections.
     pub fn new(max: usize) -> Self {
-        Self { max, connections: sync::Mutex::default() }
+        Self::within(sync::Arc::default(), max)
+    }
+
+    /// Creates a limit of `max` connections whose memory counts in `account`.
+    pub fn within(account: sync::Arc<memory::Account>, max: usize) -> Self {
+        Self { max, account, connections: sync::Mutex::default() }
     }
 
     /// The number of open connections, without those that are being closed at the limit.
@@ -139,7 +161,7 @@
     /// Admits a new connection if there is room or another one gives way.
     pub fn admit(self: &sync::Arc<Self>, now_us: u64) -> Admitted {
         let mut connections = locks::lock(&self.connections);
-        let is_full = connections.open.len() >= self.max;
+        let is_full = connections.open.len() >= self.max || !self.account.has_room(CONNECTION);
         if is_full {
             let candidates = connections.open.iter().enumerate();
             let longest = candidates
@@ -163,6 +185,7 @@
         });
         connections.next_id += 1;
         connections.open.push(connection.clone());
+        self.account.add(CONNECTION);
         let open = Open(sync::Arc::new(Guard { limit: self.clone(), connection }));
         match is_full {
             true => Admitted::InPlaceOfAnother(open),
@@ -216,6 +239,7 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
+        self.limit.account.release(CONNECTION);
         let mut connections = locks::lock(&self.limit.connections);
         // Not there if it was closed at the limit.
         let found = connections.open.binary_search_by_key(&self.connection.id, |open| open.id);
--- a/src/forward/admission/memory.rs
+++ b/src/forward/admission/memory.rs
@@ -1,4 +1,4 @@
-//! The memory of the process: its shares, and the pool of memory for request bodies.
+//! The memory of the process: its shares, the account of what requests hold, and the pool of memory for request bodies.
 
 use crate::locks;
 use std::sync;
@@ -11,7 +11,10 @@
 const ANSWERS_SHARE: f64 = 0.3;
 const BODIES_SHARE: f64 = 0.15;
 const CONNECTIONS_SHARE: f64 = 0.2;
-const SENDS_SHARE: f64 = 0.15;
+const DIRECTORY_SHARE: f64 = 0.05;
+const SENDS_SHARE: f64 = 0.4;
+/// The share of all but the answers together: less than the sum of theirs, since they are seldom used up at a time.
+const ACCOUNT_SHARE: f64 = 0.55;
 /// The memory that is assumed if the settings don't state it: that of the largest machines.
 const MEMORY_DEFAULT_BYTES: u64 = 512 << 20;
 /// Bodies of up to this size may use the whole pool, larger ones [`LARGE_SHARE`] of it.
@@ -42,8 +45,12 @@
     pub bodies_bytes: usize,
     /// For clients' connections: their read buffers and tasks.
     pub connections_bytes: usize,
+    /// For connections of clients that ask for addresses.
+    pub directory_bytes: usize,
     /// For sends to searchers: their connections and the copies of requests' heads.
     pub sends_bytes: usize,
+    /// For all of these but the answers.
+    pub account_bytes: usize,
 }
 
 impl Budget {
@@ -55,14 +62,124 @@
             answers_bytes: answers as usize,
             bodies_bytes: (total * BODIES_SHARE) as usize,
             connections_bytes: (total * CONNECTIONS_SHARE) as usize,
+            directory_bytes: (total * DIRECTORY_SHARE) as usize,
             sends_bytes: (total * SENDS_SHARE) as usize,
+            account_bytes: (total * ACCOUNT_SHARE) as usize,
         }
     }
 }
 
+/// Memory and connections that are held together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// The memory.
+    pub bytes: usize,
+    /// The number of connections, each of which has a descriptor.
+    pub connections: usize,
+}
+
+/// A [`Usage`] that changes.
+#[derive(Debug, Default)]
+struct Counter {
+    bytes: atomic::AtomicUsize,
+    connections: atomic::AtomicUsize,
+}
+
+impl Counter {
+    fn add(&self, usage: Usage) {
+        self.bytes.fetch_add(usage.bytes, atomic::Ordering::Relaxed);
+        self.connections.fetch_add(usage.connections, atomic::Ordering::Relaxed);
+    }
+
+    fn subtract(&self, usage: Usage) {
+        self.bytes.fetch_sub(usage.bytes, atomic::Ordering::Relaxed);
+        self.connections.fetch_sub(usage.connections, atomic::Ordering::Relaxed);
+    }
+
+    fn get(&self) -> Usage {
+        Usage {
+            bytes: self.bytes.load(atomic::Ordering::Relaxed),
+            connections: self.connections.load(atomic::Ordering::Relaxed),
+        }
+    }
+}
+
+/// What clients' connections, bodies and sends hold together. Each kind has a bound of its own as well; the sum of these is
+/// more than the machine has, since they are seldom used up at a time.
+#[derive(Debug)]
+pub struct Account {
+    max: Usage,
+    used: Counter,
+    /// What idle connections to searchers hold. They are closed when it is needed.
+    idle: Counter,
+    shortage: Notify,
+}
+
+impl Default for Account {
+    /// No bound.
+    fn default() -> Self {
+        Self::new(Usage { bytes: usize::MAX, connections: usize::MAX })
+    }
+}
+
+impl Account {
+    /// Creates an account of `max`.
+    pub fn new(max: Usage) -> Self {
+        Self { max, used: Counter::default(), idle: Counter::default(), shortage: Notify::new() }
+    }
+
+    /// Whether `usage` may be added.
+    pub fn has_room(&self, usage: Usage) -> bool {
+        let used = self.used.get();
+        used.bytes + usage.bytes <= self.max.bytes
+            && used.connections + usage.connections <= self.max.connections
+    }
+
+    /// Adds `usage`, whether or not there is room for it.
+    pub fn add(&self, usage: Usage) {
+        self.used.add(usage);
+        if self.excess_idle() != Usage::default() {
+            self.shortage.notify_one();
+        }
+    }
+
+    /// Gives back `usage`.
+    pub fn release(&self, usage: Usage) {
+        self.used.subtract(usage);
+    }
+
+    /// Counts what a connection that became idle holds.
+    pub fn add_idle(&self, usage: Usage) {
+        self.idle.add(usage);
+    }
+
+    /// Stops counting what an idle connection held.
+    pub fn release_idle(&self, usage: Usage) {
+        self.idle.subtract(usage);
+    }
+
+    /// How much of what idle connections hold is needed for something else.
+    pub fn excess_idle(&self) -> Usage {
+        let used = self.used.get();
+        let idle = self.idle.get();
+        let free_bytes = self.max.bytes.saturating_sub(used.bytes);
+        let free_connections = self.max.connections.saturating_sub(used.connections);
+        Usage {
+            bytes: idle.bytes.saturating_sub(free_bytes),
+            connections: idle.connections.saturating_sub(free_connections),
+        }
+    }
+
+    /// Waits until something of what idle connections hold is needed.
+    pub async fn wait_for_shortage(&self) {
+        self.shortage.notified().await;
+    }
+}
+
 /// The memory for request bodies.
 #[derive(Debug)]
 pub struct Pool {
+    account: sync::Arc<Account>,
     used_bytes: atomic::AtomicUsize,
     max_bytes: usize,
     /// The bodies that wait for further bytes. Those that arrive at once are never in it.
@@ -89,7 +206,13 @@
 impl Pool {
     /// Creates a pool of `max_bytes`.
     pub fn new(max_bytes: usize) -> Self {
-        Self { used_bytes: atomic::AtomicUsize::new(0), max_bytes, waiting: sync::Mutex::default() }
+        Self::within(sync::Arc::default(), max_bytes)
+    }
+
+    /// Creates a pool of `max_bytes` whose bytes also count in `account`.
+    pub fn within(account: sync::Arc<Account>, max_bytes: usize) -> Self {
+        let used_bytes = atomic::AtomicUsize::new(0);
+        Self { account, used_bytes, max_bytes, waiting: sync::Mutex::default() }
     }
 
     /// The bytes that are held by all bodies.
@@ -108,14 +231,24 @@
     }
 
     fn take(&self, byte_count: usize, max_bytes: usize) -> bool {
-        let before = self.used_bytes.fetch_add(byte_count, atomic::Ordering::Relaxed);
-        if before + byte_count > max_bytes {
-            self.used_bytes.fetch_sub(byte_count, atomic::Ordering::Relaxed);
+        if !self.has_room(byte_count, max_bytes) {
             return false;
         }
+        self.used_bytes.fetch_add(byte_count, atomic::Ordering::Relaxed);
+        self.account.add(Usage { bytes: byte_count, connections: 0 });
         true
     }
 
+    fn has_room(&self, byte_count: usize, max_bytes: usize) -> bool {
+        self.used_bytes() + byte_count <= max_bytes
+            && self.account.has_room(Usage { bytes: byte_count, connections: 0 })
+    }
+
+    fn release(&self, byte_count: usize) {
+        self.used_bytes.fetch_sub(byte_count, atomic::Ordering::Relaxed);
+        self.account.release(Usage { bytes: byte_count, connections: 0 });
+    }
+
     /// Makes stalled bodies give way, those that have stalled longest first, until `byte_count` bytes fit.
     fn make_room(&self, now_us: u64, byte_count: usize, max_bytes: usize) {
         let mut waiting = locks::lock(&self.waiting);
@@ -123,12 +256,13 @@
         let mut count = 0;
         for entry in waiting.iter() {
             let progress_us = entry.progress_us.load(atomic::Ordering::Relaxed);
-            let has_room = self.used_bytes() + byte_count <= max_bytes;
-            if has_room || now_us.saturating_sub(progress_us) < GIVE_WAY_US {
+            if self.has_room(byte_count, max_bytes)
+                || now_us.saturating_sub(progress_us) < GIVE_WAY_US
+            {
                 break;
             }
             let released = entry.held_bytes.swap(0, atomic::Ordering::Relaxed);
-            self.used_bytes.fetch_sub(released, atomic::Ordering::Relaxed);
+            self.release(released);
             entry.gave_way.notify_one();
             count += 1;
         }
@@ -166,7 +300,7 @@
         let held_bytes = self.entry.held_bytes.load(atomic::Ordering::Relaxed);
         let released = byte_count.min(held_bytes);
         self.entry.held_bytes.fetch_sub(released, atomic::Ordering::Relaxed);
-        self.pool.used_bytes.fetch_sub(released, atomic::Ordering::Relaxed);
+        self.pool.release(released);
     }
 
     /// Records that `byte_count` bytes of the body have arrived.
--- a/src/forward/query.rs
+++ b/src/forward/query.rs
@@ -469,10 +469,18 @@
     /// Handles the passing of time. Returns the hedges that are due and the sends that had to wait.
     pub fn tick(&mut self, now_us: u64, context: &mut Context<'_>) -> Vec<Send> {
         if self.waiting_for_room.is_some() {
-            if now_us < self.spec.wait_until_us() && !self.has_room_to_start(context) {
+            let has_room = self.has_room_to_start(context);
+            if !has_room && now_us < self.spec.wait_until_us() {
                 return Vec::new();
             }
             self.waiting_for_room = None;
+            if !has_room {
+                for part in &mut self.parts {
+                    part.waiting = None;
+                    part.failed = Some(PartFailure::Busy);
+                }
+                return Vec::new();
+            }
         }
         let mut sends = Vec::new();
         for part_index in 0..self.parts.len() {
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -194,6 +194,7 @@
     pub async fn apply_view_changes(&self) {
         let mut searchers = self.view.searchers_epoch();
         let mut members = self.view.members_epoch();
+        let send_limit = locks::lock(&self.shared).balancer.send_limit().clone();
         let mut version = config::ConfigVersion::default();
         let mut sweep = tokio::time::interval(SWEEP_PERIOD);
         sweep.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -202,6 +203,9 @@
             tokio::select! {
                 _ = searchers.changed() => self.sync_balancer(),
                 _ = members.changed() => self.sync_members(),
+                () = send_limit.wait_for_shortage() => {
+                    locks::lock(&self.shared).balancer.close_excess_idle();
+                }
                 _ = sweep.tick() => {
                     self.sweep();
                     self.sync_placement();
--- a/src/forward/send_limit.rs
+++ b/src/forward/send_limit.rs
@@ -4,6 +4,7 @@
 //! made. A request starts only if there is room for all of its first sends, since parts that are sent one at a time
 //! would be wasted when the rest finds no room in time.
 
+use crate::forward::admission::memory;
 use std::sync;
 use std::sync::atomic;
 
@@ -30,17 +31,18 @@
 
 impl Need {
     fn byte_count(self) -> usize {
-        self.count * send_bytes(self.head_bytes)
+        self.count * send_usage(self.head_bytes).bytes
     }
 }
 
-fn send_bytes(head_bytes: usize) -> usize {
-    CONNECTION_BYTES + head_bytes
+fn send_usage(head_bytes: usize) -> memory::Usage {
+    memory::Usage { bytes: CONNECTION_BYTES + head_bytes, connections: 1 }
 }
 
 /// The sends in progress and the idle connections of a process, and how many there may be.
 #[derive(Debug)]
 pub struct SendLimit {
+    account: sync::Arc<memory::Account>,
     connections_max: usize,
     bytes_max: usize,
     send_count: atomic::AtomicUsize,
@@ -59,7 +61,17 @@
 impl SendLimit {
     /// Creates a limit of `connections_max` connections and `bytes_max` of memory.
     pub fn new(connections_max: usize, bytes_max: usize) -> Self {
+        Self::within(sync::Arc::default(), connections_max, bytes_max)
+    }
+
+    /// Creates a limit of `connections_max` connections and `bytes_max` of memory, which also counts in `account`.
+    pub fn within(
+        account: sync::Arc<memory::Account>,
+        connections_max: usize,
+        bytes_max: usize,
+    ) -> Self {
         Self {
+            account,
             connections_max,
             bytes_max,
             send_count: atomic::AtomicUsize::new(0),
@@ -79,7 +91,8 @@
         let allowed = |max: usize| max - max / PRIORITY_DIVISOR * steps;
         used_count == 0
             || (used_count + count <= allowed(self.connections_max)
-                && used_bytes + byte_count <= allowed(self.bytes_max))
+                && used_bytes + byte_count <= allowed(self.bytes_max)
+                && self.account.has_room(memory::Usage { bytes: byte_count, connections: count }))
     }
 
     /// Returns how long these sends are expected to wait for room: 0 if there is room, and otherwise until the sends in
@@ -95,10 +108,11 @@
 
     /// Counts a send until the guard is dropped.
     pub fn start_send(self: &sync::Arc<Self>, head_bytes: usize) -> SendGuard {
-        let byte_count = send_bytes(head_bytes);
+        let usage = send_usage(head_bytes);
         self.send_count.fetch_add(1, atomic::Ordering::Relaxed);
-        self.send_bytes.fetch_add(byte_count, atomic::Ordering::Relaxed);
-        SendGuard { limit: self.clone(), byte_count }
+        self.send_bytes.fetch_add(usage.bytes, atomic::Ordering::Relaxed);
+        self.account.add(usage);
+        SendGuard { limit: self.clone(), usage }
     }
 
     /// Counts sends that wait for room until the guard is dropped.
@@ -111,17 +125,28 @@
     /// Counts an idle connection until the guard is dropped.
     pub fn hold_idle(self: &sync::Arc<Self>) -> IdleGuard {
         self.idle_count.fetch_add(1, atomic::Ordering::Relaxed);
+        self.account.add_idle(send_usage(0));
         IdleGuard(self.clone())
     }
 
-    /// Returns how many idle connections have to be closed for the sends in progress.
+    /// Returns how many idle connections have to be closed, for the sends in progress or for something else that counts
+    /// in the account.
     pub fn excess_idle_count(&self) -> usize {
         let idle_count = self.idle_count.load(atomic::Ordering::Relaxed);
         let send_count = self.send_count.load(atomic::Ordering::Relaxed);
         let send_bytes = self.send_bytes.load(atomic::Ordering::Relaxed);
         let by_count = self.connections_max.saturating_sub(send_count);
         let by_bytes = self.bytes_max.saturating_sub(send_bytes) / CONNECTION_BYTES;
-        idle_count.saturating_sub(by_count.min(by_bytes))
+        let excess = self.account.excess_idle();
+        idle_count
+            .saturating_sub(by_count.min(by_bytes))
+            .max(excess.bytes.div_ceil(CONNECTION_BYTES))
+            .max(excess.connections)
+    }
+
+    /// Waits until idle connections have to be closed for something else than sends.
+    pub async fn wait_for_shortage(&self) {
+        self.account.wait_for_shortage().await;
     }
 }
 
@@ -129,13 +154,14 @@
 #[derive(Debug)]
 pub struct SendGuard {
     limit: sync::Arc<SendLimit>,
-    byte_count: usize,
+    usage: memory::Usage,
 }
 
 impl Drop for SendGuard {
     fn drop(&mut self) {
         self.limit.send_count.fetch_sub(1, atomic::Ordering::Relaxed);
-        self.limit.send_bytes.fetch_sub(self.byte_count, atomic::Ordering::Relaxed);
+        self.limit.send_bytes.fetch_sub(self.usage.bytes, atomic::Ordering::Relaxed);
+        self.limit.account.release(self.usage);
     }
 }
 
@@ -159,5 +185,6 @@
 impl Drop for IdleGuard {
     fn drop(&mut self) {
         self.0.idle_count.fetch_sub(1, atomic::Ordering::Relaxed);
+        self.0.account.release_idle(send_usage(0));
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -142,17 +142,25 @@
     );
     forwarder.set_cold_tolerance(settings.cold);
     let budget = memory::Budget::new(settings.machine.memory_bytes);
+    let account = sync::Arc::new(memory::Account::new(memory::Usage {
+        bytes: budget.account_bytes,
+        connections: connections::all_max(settings.machine.descriptors_max),
+    }));
     let connections_max = connections::searchers_max(settings.machine.descriptors_max);
     let forwarder = forwarder
         .with_answers_max(budget.answers_bytes)
-        .with_send_limit(send_limit::SendLimit::new(connections_max, budget.sends_bytes))
+        .with_send_limit(send_limit::SendLimit::within(
+            account.clone(),
+            connections_max,
+            budget.sends_bytes,
+        ))
         .with_routing(settings.routing);
     let forwarder = sync::Arc::new(forwarder);
     let server = sync::Arc::new(server::Server::new(
         view.clone(),
         forwarder.clone(),
         settings.bounds.config_apply,
-        admission::Admission::new(settings.machine, metrics.clone()),
+        admission::Admission::new(settings.machine, &account, metrics.clone()),
     ));
 
     if let Some(rule) = settings.quota {
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -50,24 +50,56 @@
 fn all_shares_leave_a_seventh_of_the_memory_to_the_process() {
     for memory_mb in [64, 112, 160, 512_u64] {
         let budget = memory::Budget::new(Some(memory_mb << 20));
-        let shares = budget.answers_bytes
-            + budget.bodies_bytes
-            + budget.connections_bytes
-            + budget.sends_bytes;
+        let shares = budget.answers_bytes + budget.account_bytes;
         assert!(shares as f64 <= (memory_mb << 20) as f64 * 6.0 / 7.0, "{budget:?}");
+        let others = budget.bodies_bytes + budget.connections_bytes + budget.directory_bytes;
+        assert!(others.max(budget.sends_bytes) <= budget.account_bytes, "{budget:?}");
     }
 }
 
 /// Guards against connections that together are more than the descriptors.
 #[test]
 fn connections_of_all_kinds_leave_descriptors_to_other_instances_and_the_store() {
-    for descriptors in [400, 2_870, 8_192] {
-        let clients = connections::clients_max(Some(descriptors), usize::MAX);
-        let directory = connections::directory_max(Some(descriptors));
-        let searchers = connections::searchers_max(Some(descriptors));
-        let left = descriptors - 200 - clients - directory - searchers;
-        assert!(left >= (descriptors - 200) / 8, "{left} of {descriptors}");
+    let left = [400, 2_870, 8_192].map(|descriptors| {
+        let all = connections::all_max(Some(descriptors));
+        assert!(connections::clients_max(Some(descriptors), usize::MAX) < all);
+        assert!(connections::searchers_max(Some(descriptors)) < all);
+        descriptors - 200 - all
+    });
+    assert_eq!(left, [25, 333, 999]);
+}
+
+/// Guards against idle connections to searchers that keep clients out, and against mixed crowds that use up one share
+/// after the other.
+#[test]
+fn clients_and_bodies_take_what_idle_connections_hold_and_share_what_there_is() {
+    let max = memory::Usage { bytes: 10 * LARGE_BYTES, connections: 2 };
+    let account = sync::Arc::new(memory::Account::new(max));
+    let idle = memory::Usage { bytes: LARGE_BYTES, connections: 1 };
+    account.add_idle(idle);
+    let clients = sync::Arc::new(connections::Limit::within(account.clone(), 100));
+    let first = clients.admit(0);
+    assert_eq!(account.excess_idle(), memory::Usage::default());
+    let second = clients.admit(1);
+    assert!(matches!(
+        (&first, &second),
+        (connections::Admitted::Free(_), connections::Admitted::Free(_))
+    ));
+    assert_eq!(account.excess_idle(), memory::Usage { bytes: 0, connections: 1 });
+    assert!(matches!(clients.admit(2), connections::Admitted::InPlaceOfAnother(_)));
+    account.release_idle(idle);
+    let pool = sync::Arc::new(memory::Pool::within(account.clone(), usize::MAX));
+    let mut bodies = Vec::new();
+    loop {
+        let mut held = pool.start_body(0);
+        if !held.grow(0, LARGE_BYTES) {
+            break;
+        }
+        bodies.push(held);
     }
+    assert_eq!(bodies.len(), 9);
+    drop(bodies);
+    assert!(account.has_room(memory::Usage { bytes: 9 * LARGE_BYTES, connections: 0 }));
 }
 
 /// Guards against large bodies that leave no memory for ordinary ones.
