Hold answers in the memory's bound until their clients have taken them

Clients that don't read their answers ended the process: the memory of an answer counted while it was received from the searcher, and no longer while it waited for the client. Two answers wait for each connection, one of them in the write buffer, and 955 connections were allowed. An answer now keeps its memory until its last copy is dropped. When there is no room for another one, the connection whose client has taken nothing for longest, at least 0.3 s, is closed; without need none is, since slow links take nothing for seconds.

--- a/src/forward/admission/connections.rs
+++ b/src/forward/admission/connections.rs
@@ -68,6 +68,10 @@
     })
 }
 
+/// A client that has taken nothing of its answer for this long gives way when the memory is needed. Packets that are lost
+/// on mobile links are repeated after 0.2 s and more.
+const GIVE_WAY_US: u64 = 300_000;
+
 /// What a connection does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u8)]
@@ -92,6 +96,8 @@
     has_served: atomic::AtomicBool,
     /// Whether the request that is being handled has a body that was not read yet.
     is_body_unread: atomic::AtomicBool,
+    /// Since when the client has taken nothing of its answer, 0 if it takes what is written.
+    blocked_since_us: atomic::AtomicU64,
     closing: Notify,
 }
 
@@ -181,6 +187,7 @@
             since_us: atomic::AtomicU64::new(now_us),
             has_served: atomic::AtomicBool::new(false),
             is_body_unread: atomic::AtomicBool::new(false),
+            blocked_since_us: atomic::AtomicU64::new(0),
             closing: Notify::new(),
         });
         connections.next_id += 1;
@@ -193,6 +200,21 @@
         }
     }
 
+    /// Closes the connection whose client has taken nothing of its answer for longest. Returns whether there is one.
+    pub fn close_longest_blocked(&self, now_us: u64) -> bool {
+        let mut connections = locks::lock(&self.connections);
+        let blocked = connections.open.iter().enumerate().filter_map(|(index, connection)| {
+            let since_us = connection.blocked_since_us.load(atomic::Ordering::Relaxed);
+            let is_blocked = since_us > 0 && now_us.saturating_sub(since_us) >= GIVE_WAY_US;
+            (is_blocked && !connection.is(Activity::Busy)).then_some((since_us, index))
+        });
+        let Some((_, index)) = blocked.min() else {
+            return false;
+        };
+        connections.open.remove(index).closing.notify_one();
+        true
+    }
+
     /// Closes connections on which a request's head began to arrive before `timeout_us`. Returns how many.
     pub fn close_stalled_heads(&self, now_us: u64, timeout_us: u64) -> usize {
         let mut count = 0;
@@ -265,7 +287,7 @@
     }
 }
 
-/// A client's stream that records when a request's head begins to arrive.
+/// A client's stream that records when a request's head begins to arrive, and since when an answer is not taken.
 #[derive(Debug)]
 pub struct Watched<T> {
     stream: T,
@@ -279,6 +301,17 @@
     }
 }
 
+impl<T> Watched<T> {
+    fn record_write(&self, written: &task::Poll<io::Result<usize>>) {
+        let blocked_since_us = &self.open.0.connection.blocked_since_us;
+        if written.is_ready() {
+            blocked_since_us.store(0, atomic::Ordering::Relaxed);
+        } else if blocked_since_us.load(atomic::Ordering::Relaxed) == 0 {
+            blocked_since_us.store(clock::now_us(), atomic::Ordering::Relaxed);
+        }
+    }
+}
+
 impl<T: AsyncRead + Unpin> AsyncRead for Watched<T> {
     fn poll_read(
         mut self: pin::Pin<&mut Self>,
@@ -305,7 +338,9 @@
         context: &mut task::Context<'_>,
         buffer: &[u8],
     ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.stream).poll_write(context, buffer)
+        let written = pin::Pin::new(&mut self.stream).poll_write(context, buffer);
+        self.record_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -313,7 +348,9 @@
         context: &mut task::Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+        let written = pin::Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.record_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -366,7 +366,7 @@
     Connection(#[from] hyper::Error),
     #[error("it is longer than {ANSWER_MAX_BYTES} bytes")]
     TooLong,
-    #[error("too many bytes of answers are being received")]
+    #[error("there is no memory for the answer")]
     BufferFull,
 }
 
@@ -389,7 +389,7 @@
             let old_capacity = bytes.capacity();
             let capacity = length.max((old_capacity * 2).min(ANSWER_MAX_BYTES));
             // Both allocations exist while the bytes are copied.
-            if !reservation.grow(capacity) {
+            if !reservation.grow_or_make_room(capacity).await {
                 return Err(BodyError::BufferFull);
             }
             bytes.reserve_exact(capacity - bytes.len());
@@ -397,7 +397,7 @@
         }
         bytes.extend_from_slice(&data);
     }
-    Ok(Bytes::from(bytes))
+    Ok(reservation.complete(bytes))
 }
 
 /// Reads what the searcher says of itself besides the answer.
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -10,6 +10,7 @@
 use crate::expected_work::routing;
 use crate::fair_order::gate;
 use crate::forward::address;
+use crate::forward::admission::connections;
 use crate::forward::admission::memory;
 use crate::forward::answer_buffer;
 use crate::forward::answer_delay;
@@ -330,10 +331,15 @@
         self.sync_placement();
     }
 
-    /// Bounds the memory for answers that are being received.
+    /// Bounds the memory for answers to `clients`.
     #[must_use]
-    pub fn with_answers_max(mut self, bytes_max: usize) -> Self {
-        self.answer_buffer = sync::Arc::new(answer_buffer::AnswerBuffer::new(bytes_max));
+    pub fn with_answers_max(
+        mut self,
+        bytes_max: usize,
+        clients: sync::Arc<connections::Limit>,
+    ) -> Self {
+        let answer_buffer = answer_buffer::AnswerBuffer::new(bytes_max).with_clients(clients);
+        self.answer_buffer = sync::Arc::new(answer_buffer);
         self
     }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -147,8 +147,9 @@
         connections: connections::all_max(settings.machine.descriptors_max),
     }));
     let connections_max = connections::searchers_max(settings.machine.descriptors_max);
+    let admission = admission::Admission::new(settings.machine, &account, metrics.clone());
     let forwarder = forwarder
-        .with_answers_max(budget.answers_bytes)
+        .with_answers_max(budget.answers_bytes, admission.clients.clone())
         .with_send_limit(send_limit::SendLimit::within(
             account.clone(),
             connections_max,
@@ -160,7 +161,7 @@
         view.clone(),
         forwarder.clone(),
         settings.bounds.config_apply,
-        admission::Admission::new(settings.machine, &account, metrics.clone()),
+        admission,
     ));
 
     if let Some(rule) = settings.quota {
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -7,6 +7,7 @@
 use tarragondoor::forward::admission::body;
 use tarragondoor::forward::admission::connections;
 use tarragondoor::forward::admission::memory;
+use tarragondoor::forward::answer_buffer;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 
@@ -231,3 +232,45 @@
         assert_eq!(limit.close_stalled_heads(u64::MAX, 0), closed_count);
     }
 }
+
+/// Guards against clients that don't read their answers: these are held in memory until the last byte is written.
+#[tokio::test]
+async fn a_client_that_takes_nothing_of_its_answer_gives_way() {
+    let clients = sync::Arc::new(connections::Limit::new(3));
+    let mut streams = Vec::new();
+    for written_bytes in [1, 8, 8] {
+        let connections::Admitted::Free(open) = clients.admit(0) else {
+            panic!("no room");
+        };
+        let (stream, client) = tokio::io::duplex(4);
+        let mut stream = connections::Watched::new(stream, open.clone());
+        let written = stream.write_all(&[0; 8][..written_bytes]);
+        let waiting = tokio::time::timeout(std::time::Duration::from_millis(5), written).await;
+        assert_eq!(waiting.is_err(), written_bytes > 4);
+        streams.push((stream, client, open));
+    }
+    let now_us = tarragondoor::clock::now_us();
+    assert!(!clients.close_longest_blocked(now_us), "not blocked for long enough");
+    let later_us = now_us + SECOND_US;
+    let mut buffer = [0; 4];
+    let (stream, client, _) = &mut streams[1];
+    client.read_exact(&mut buffer).await.unwrap();
+    stream.write_all(&[0; 4]).await.unwrap();
+    let closed: Vec<bool> = (0..2).map(|_| clients.close_longest_blocked(later_us)).collect();
+    assert_eq!((closed, clients.count()), (vec![true, false], 2));
+    streams[2].2.wait_for_closing().await;
+}
+
+/// Guards against answers that count only until they have been received.
+#[tokio::test]
+async fn an_answer_holds_its_memory_until_its_last_copy_is_dropped() {
+    let buffer = sync::Arc::new(answer_buffer::AnswerBuffer::new(100));
+    let mut reservation = buffer.start_answer();
+    assert!(reservation.grow_or_make_room(60).await);
+    let answer = reservation.complete(vec![0; 60]);
+    let copy = answer.clone();
+    drop(answer);
+    assert!(!buffer.start_answer().grow_or_make_room(41).await);
+    drop(copy);
+    assert!(buffer.start_answer().grow(100));
+}
