Bound the memory of request bodies of tarragondoord

A crowd that sends bodies in chunks of one byte filled the memory of tarragondoord: the chunks were kept as they came, and nothing bounded all bodies together. Bodies are now read as on the users' platform: copied into one buffer whose memory is reserved before, within 15 % of memory_mb, a new setting; stalled bodies give way. A request without room for its body is answered with overloaded (429); it has not run.

--- a/src/config.rs
+++ b/src/config.rs
@@ -72,6 +72,9 @@
     /// How long callers may cache an address reply.
     #[serde(default = "default_address_ttl_ms")]
     pub address_ttl_ms: u32,
+    /// The memory of its machine, which bounds that of request bodies; 512 MB if it is not set.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
     /// The number of threads that serve requests.
     #[serde(default = "default_worker_threads")]
     pub worker_threads: u16,
--- a/src/forward/admission/body.rs
+++ b/src/forward/admission/body.rs
@@ -47,16 +47,16 @@
     }
 }
 
-/// Reads a body of up to `max_bytes`. Its memory is released when the last copy of the returned bytes is dropped.
+/// Reads a body of up to `max_bytes`. `open` is its connection, if the connection may have to give way. Its memory is released when the last copy of the returned bytes is dropped.
 ///
 /// # Errors
 ///
 /// If the body is too long, there is no memory for it, or it does not arrive.
-pub async fn read<B>(
+pub async fn read<'a, B>(
     mut body: B,
     max_bytes: usize,
     pool: &sync::Arc<memory::Pool>,
-    open: &connections::Open,
+    open: impl Into<Option<&'a connections::Open>>,
 ) -> Result<Bytes, Failure>
 where
     B: hyper::body::Body<Data = Bytes> + Unpin,
@@ -65,6 +65,7 @@
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
+    let open = open.into();
     let hint = body.size_hint();
     if hint.lower() > max_bytes as u64 {
         return Err(Failure::TooLong);
@@ -116,15 +117,23 @@
         bytes.extend_from_slice(&data);
     }
     held.stop_waiting();
-    open.finish_body();
+    if let Some(open) = open {
+        open.finish_body();
+    }
     Ok(Bytes::from_owner(Complete { bytes, _held: held }))
 }
 
 /// Waits until the body has to be given up. Polled only while no bytes are there.
-async fn give_up(held: &mut memory::Held, started_us: u64, open: &connections::Open) -> Failure {
+async fn give_up(
+    held: &mut memory::Held,
+    started_us: u64,
+    open: Option<&connections::Open>,
+) -> Failure {
     held.start_waiting();
     let progress_us = held.progress_us();
-    open.set_waiting_for_body(progress_us);
+    if let Some(open) = open {
+        open.set_waiting_for_body(progress_us);
+    }
     let end_us = (progress_us + STALL_TIMEOUT_US).min(started_us + BODY_TIMEOUT_US);
     let left = time::Duration::from_micros(end_us.saturating_sub(clock::now_us()));
     tokio::select! {
--- a/src/http.rs
+++ b/src/http.rs
@@ -2,12 +2,13 @@
 
 use crate::caller_api;
 use crate::entry;
+use crate::forward::admission::body;
+use crate::forward::admission::memory;
 use crate::ids;
 use crate::metrics;
 use crate::operators;
 use crate::trace;
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
 use std::net;
 use std::sync;
 use std::time;
@@ -31,6 +32,8 @@
     pub token: compact_str::CompactString,
     /// How long callers may cache an address reply.
     pub address_ttl_ms: u32,
+    /// The memory for request bodies.
+    pub bodies: sync::Arc<memory::Pool>,
     /// Limits the number of recorded traces.
     pub sample_limiter: trace::SampleLimiter,
 }
@@ -97,7 +100,7 @@
     request: request::Request,
 ) -> Result<T, caller_api::ErrorReply> {
     app.node.ensure_ready()?;
-    read_body(request, caller_api::BODY_MAX_BYTES).await
+    read_body(app, request, caller_api::BODY_MAX_BYTES).await
 }
 
 async fn run(utils::Extension(app): Shared, request: request::Request) -> response::Response {
@@ -182,20 +185,21 @@
 
 /// Reads a request's body of at most `max_bytes` and parses it.
 pub(crate) async fn read_body<T: serde::de::DeserializeOwned>(
+    app: &App,
     request: request::Request,
     max_bytes: usize,
 ) -> Result<T, caller_api::ErrorReply> {
-    let limited = http_body_util::Limited::new(request.into_body(), max_bytes);
-    let bytes = match limited.collect().await {
-        Ok(collected) => collected.to_bytes(),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            let code = caller_api::ErrorCode::TooLarge;
-            return Err(entry::error_reply(code, "the body is too large"));
-        }
-        Err(error) => {
-            return Err(entry::error_reply(caller_api::ErrorCode::BadRequest, error.to_string()));
-        }
-    };
+    let bytes = body::read(request.into_body(), max_bytes, &app.bodies, None).await;
+    let bytes = bytes.map_err(|failure| {
+        let code = match failure {
+            body::Failure::TooLong => caller_api::ErrorCode::TooLarge,
+            body::Failure::NoRoom | body::Failure::GaveWay => caller_api::ErrorCode::Overloaded,
+            body::Failure::Stalled | body::Failure::Connection(_) => {
+                caller_api::ErrorCode::BadRequest
+            }
+        };
+        entry::error_reply(code, failure.to_string())
+    })?;
     serde_json::from_slice(&bytes)
         .map_err(|error| entry::error_reply(caller_api::ErrorCode::BadRequest, error.to_string()))
 }
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -7,6 +7,7 @@
 use crate::dispatch;
 use crate::entry;
 use crate::events::Event;
+use crate::forward::admission::memory;
 use crate::gossip;
 use crate::home;
 use crate::http;
@@ -123,10 +124,12 @@
     tasks.spawn(background_tasks::probe_searchers(node.clone()));
     tasks.spawn(background_tasks::tick_owner(node.clone()));
     tasks.spawn(settings_worker::run(node.clone(), config.platform, config.seeds.len(), inbox));
+    let budget = memory::Budget::new(config.memory_mb.map(|memory_mb| memory_mb << 20));
     let app = sync::Arc::new(http::App {
         node: node.clone(),
         token: secrets.token,
         address_ttl_ms: config.address_ttl_ms,
+        bodies: sync::Arc::new(memory::Pool::new(budget.bodies_bytes)),
         sample_limiter: trace::SampleLimiter::default(),
     });
     crate::event!(
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -46,7 +46,7 @@
         return http::error_response(&error);
     }
     let call: operator_api::DeclareCall =
-        match http::read_body(request, DECLARATION_MAX_BYTES).await {
+        match http::read_body(app, request, DECLARATION_MAX_BYTES).await {
             Ok(call) => call,
             Err(error) => return http::error_response(&error),
         };
@@ -92,7 +92,7 @@
         return http::error_response(&error);
     }
     let limit = caller_api::BODY_MAX_BYTES;
-    let call: operator_api::ConfirmCall = match http::read_body(request, limit).await {
+    let call: operator_api::ConfirmCall = match http::read_body(app, request, limit).await {
         Ok(call) => call,
         Err(error) => return http::error_response(&error),
     };
--- a/standin/tests/deployment/mod.rs
+++ b/standin/tests/deployment/mod.rs
@@ -21,6 +21,9 @@
 /// The time between two checks of a condition.
 const POLL_PERIOD: time::Duration = time::Duration::from_millis(50);
 
+/// The memory of the instances' machines.
+pub const MEMORY_MB: u64 = 64;
+
 /// The token that operators authenticate with.
 pub const TOKEN: &str = "a-token-for-tests";
 
@@ -179,7 +182,7 @@
     let config = serde_json::json!({
         "instance": name, "region": region, "failure_domain": domain,
         "listen": "127.0.0.1:0", "peer_listen": "127.0.0.1:0", "platform": platform,
-        "seeds": seed_list, "address_ttl_ms": address_ttl_ms, "log": "json",
+        "seeds": seed_list, "address_ttl_ms": address_ttl_ms, "log": "json", "memory_mb": MEMORY_MB,
     });
     let file = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!(
         "{name}-{}-{}.jsonc",
