Reserve memory for bodies in one step, and log clients that give way

The time after which something gives way was written twice. A connection that is closed because its client does not take its answer is now in the log (debug).

--- a/src/forward/admission/body.rs
+++ b/src/forward/admission/body.rs
@@ -47,7 +47,8 @@
     }
 }
 
-/// Reads a body of up to `max_bytes`. `open` is its connection, if the connection may have to give way. Its memory is released when the last copy of the returned bytes is dropped.
+/// Reads a body of up to `max_bytes`. `open` is its connection, if that may have to give way to others. The memory is
+/// released when the last copy of the returned bytes is dropped.
 ///
 /// # Errors
 ///
--- a/src/forward/admission/connections.rs
+++ b/src/forward/admission/connections.rs
@@ -68,10 +68,6 @@
     })
 }
 
-/// A client that has taken nothing of its answer for this long gives way when the memory is needed. Packets that are lost
-/// on mobile links are repeated after 0.2 s and more.
-const GIVE_WAY_US: u64 = 300_000;
-
 /// What a connection does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u8)]
@@ -205,12 +201,14 @@
         let mut connections = locks::lock(&self.connections);
         let blocked = connections.open.iter().enumerate().filter_map(|(index, connection)| {
             let since_us = connection.blocked_since_us.load(atomic::Ordering::Relaxed);
-            let is_blocked = since_us > 0 && now_us.saturating_sub(since_us) >= GIVE_WAY_US;
+            let is_blocked = since_us > 0 && now_us.saturating_sub(since_us) >= memory::GIVE_WAY_US;
             (is_blocked && !connection.is(Activity::Busy)).then_some((since_us, index))
         });
-        let Some((_, index)) = blocked.min() else {
+        let Some((since_us, index)) = blocked.min() else {
             return false;
         };
+        let blocked_ms = now_us.saturating_sub(since_us) / 1_000;
+        tracing::debug!(blocked_ms, "closing a connection whose client does not take its answer");
         connections.open.remove(index).closing.notify_one();
         true
     }
--- a/src/forward/admission/memory.rs
+++ b/src/forward/admission/memory.rs
@@ -21,9 +21,9 @@
 pub const SMALL_BODY_BYTES: usize = 16 << 10;
 /// The share of the pool that is open to large bodies.
 const LARGE_SHARE: f64 = 0.75;
-/// A body that made no progress for this long gives way to others when the pool is full. Packets that are lost on
-/// mobile links are repeated after 0.2 s and more.
-const GIVE_WAY_US: u64 = 300_000;
+/// A body that made no progress, or a client that took nothing of its answer, for this long gives way to others when the
+/// memory is used up. Packets that are lost on mobile links are repeated after 0.2 s and more.
+pub const GIVE_WAY_US: u64 = 300_000;
 /// A body makes progress with each further part of this size, so that single bytes now and then are none.
 const PROGRESS_BYTES: usize = 1 << 10;
 
@@ -135,6 +135,17 @@
             && used.connections + usage.connections <= self.max.connections
     }
 
+    /// Adds `usage`. Returns `false`, and adds none, if there is no room for it.
+    #[must_use]
+    pub fn take(&self, usage: Usage) -> bool {
+        self.add(usage);
+        let has_room = self.has_room(Usage::default());
+        if !has_room {
+            self.release(usage);
+        }
+        has_room
+    }
+
     /// Adds `usage`, whether or not there is room for it.
     pub fn add(&self, usage: Usage) {
         self.used.add(usage);
@@ -231,11 +242,12 @@
     }
 
     fn take(&self, byte_count: usize, max_bytes: usize) -> bool {
-        if !self.has_room(byte_count, max_bytes) {
+        let before = self.used_bytes.fetch_add(byte_count, atomic::Ordering::Relaxed);
+        let has_room = before + byte_count <= max_bytes;
+        if !has_room || !self.account.take(Usage { bytes: byte_count, connections: 0 }) {
+            self.used_bytes.fetch_sub(byte_count, atomic::Ordering::Relaxed);
             return false;
         }
-        self.used_bytes.fetch_add(byte_count, atomic::Ordering::Relaxed);
-        self.account.add(Usage { bytes: byte_count, connections: 0 });
         true
     }
 
--- a/src/forward/query.rs
+++ b/src/forward/query.rs
@@ -598,6 +598,7 @@
         part_index: usize,
         reason: Reason,
     ) -> Result<Send, PartFailure> {
+        let need = self.need(1);
         let route = &self.spec.route;
         let priority = self.spec.priority;
         let median_processing_us = context.latencies.median_us(route);
@@ -605,7 +606,6 @@
             context.balancer.expected_work_us(now_us, route, self.size, median_processing_us);
         let part = &mut self.parts[part_index];
         let service = &self.spec.services[part_index];
-        let need = send_limit::Need { count: 1, head_bytes: self.head_bytes, priority };
         if !context.balancer.send_limit().has_room(need) {
             return Err(PartFailure::Busy);
         }
--- a/src/forward/send_limit.rs
+++ b/src/forward/send_limit.rs
@@ -89,6 +89,7 @@
         let used_bytes = self.send_bytes.load(atomic::Ordering::Relaxed);
         let steps = usize::from(need.priority.min(PRIORITY_STEPS_MAX));
         let allowed = |max: usize| max - max / PRIORITY_DIVISOR * steps;
+        // A request alone may always start, so that none waits for ever.
         used_count == 0
             || (used_count + count <= allowed(self.connections_max)
                 && used_bytes + byte_count <= allowed(self.bytes_max)
