Tell an empty list of tenants from none

Cause: the decoder took an empty list for a missing field, and so did the deltas between instances, the check of keys, the forwarded headers and the queues in fair order.

Change: tenant::Tenants says whether keys are needed, and all ask it. Two tests that built configurations with an empty list where they meant none now say none.

--- a/src/config_check/differences.rs
+++ b/src/config_check/differences.rs
@@ -23,8 +23,29 @@
         }
     }
     lines.extend(delta.services_gone.iter().map(|name| format_compact!("service {name}: removed")));
-    for tenant in &delta.tenants {
-        match old.tenant(&tenant.name) {
+    tenants(&old.tenants, &new.tenants, &delta.tenants, &mut lines);
+    if old.limits != new.limits {
+        lines.push(changed("limits", "of clients", &old.limits, &new.limits));
+    }
+    lines
+}
+
+fn tenants(
+    old: &tenant::Tenants,
+    new: &tenant::Tenants,
+    delta: &tenant::TenantsDelta,
+    lines: &mut Vec<CompactString>,
+) {
+    match (old.require_keys(), new.require_keys()) {
+        (true, false) => lines.push("tenants: list removed, requests need no key any more".into()),
+        (false, true) => lines.push("tenants: list added, requests need a key from now on".into()),
+        (true, true) | (false, false) => {}
+    }
+    let tenant::TenantsDelta::Declared { changed, removed } = delta else {
+        return;
+    };
+    for tenant in changed {
+        match old.find(&tenant.name) {
             Some(known) => lines.push(tenant_changed(known, tenant)),
             None => {
                 let count = tenant.credentials.len();
@@ -32,11 +53,10 @@
             }
         }
     }
-    lines.extend(delta.tenants_gone.iter().map(|name| format_compact!("tenant {name}: removed")));
-    if old.limits != new.limits {
-        lines.push(changed("limits", "of clients", &old.limits, &new.limits));
+    lines.extend(removed.iter().map(|name| format_compact!("tenant {name}: removed")));
+    if new.as_slice().is_empty() && !old.as_slice().is_empty() {
+        lines.push("tenants: none left, only exempt routes are served".into());
     }
-    lines
 }
 
 fn changed<T: std::fmt::Debug>(kind: &str, name: &str, old: &T, new: &T) -> CompactString {
--- a/src/config_check/rules.rs
+++ b/src/config_check/rules.rs
@@ -145,10 +145,13 @@
 
     fn tenants(&mut self) {
         let config = self.config;
-        if !config.tenants.is_empty() && config.routes.iter().all(|route| route.is_auth_exempt) {
+        if config.tenants.require_keys() && config.routes.iter().all(|route| route.is_auth_exempt) {
             self.findings.warning("tenants", "all routes are exempt, so keys are never checked");
         }
-        for tenant in &config.tenants {
+        if config.tenants.require_keys() && config.tenants.as_slice().is_empty() {
+            self.findings.warning("tenants", "the list is empty, so only exempt routes are served");
+        }
+        for tenant in config.tenants.as_slice() {
             let place = format_compact!("tenant {}", tenant.name);
             if tenant.credentials.is_empty() {
                 self.findings.warning(place.clone(), "no keys: no request can belong to it");
--- a/src/discovery/config.rs
+++ b/src/discovery/config.rs
@@ -165,8 +165,8 @@
     pub services: Vec<Service>,
     /// The limits for clients.
     pub limits: Limits,
-    /// The tenants, sorted by name; empty if requests need no keys.
-    pub tenants: Vec<tenant::Tenant>,
+    /// The tenants.
+    pub tenants: tenant::Tenants,
 }
 
 impl Config {
@@ -175,12 +175,6 @@
         let at = self.services.binary_search_by(|service| service.name.cmp(name)).ok()?;
         self.services.get(at)
     }
-
-    /// The tenant with this name; `None` if the configuration does not declare it.
-    pub fn tenant(&self, name: &str) -> Option<&tenant::Tenant> {
-        let at = self.tenants.binary_search_by(|tenant| tenant.name.as_str().cmp(name)).ok()?;
-        self.tenants.get(at)
-    }
 }
 
 /// The differences between two configurations.
@@ -200,10 +194,8 @@
     pub services_gone: Vec<ids::ServiceName>,
     /// The limits for clients.
     pub limits: Limits,
-    /// Tenants that were added or changed.
-    pub tenants: Vec<tenant::Tenant>,
-    /// Names of tenants that were removed.
-    pub tenants_gone: Vec<CompactString>,
+    /// The differences between the tenants.
+    pub tenants: tenant::TenantsDelta,
 }
 
 impl ConfigDelta {
@@ -237,18 +229,6 @@
                 services_gone.push(service.name.clone());
             }
         }
-        let mut tenants = Vec::new();
-        for tenant in &new.tenants {
-            if old.tenant(&tenant.name) != Some(tenant) {
-                tenants.push(tenant.clone());
-            }
-        }
-        let mut tenants_gone = Vec::new();
-        for tenant in &old.tenants {
-            if new.tenant(&tenant.name).is_none() {
-                tenants_gone.push(tenant.name.clone());
-            }
-        }
         Self {
             base: old.version,
             version: new.version,
@@ -257,8 +237,7 @@
             services,
             services_gone,
             limits: new.limits,
-            tenants,
-            tenants_gone,
+            tenants: tenant::TenantsDelta::between(&old.tenants, &new.tenants),
         }
     }
 
@@ -283,14 +262,7 @@
                 Err(at) => services.insert(at, service),
             }
         }
-        let mut tenants = old.tenants.clone();
-        tenants.retain(|tenant| !self.tenants_gone.contains(&tenant.name));
-        for tenant in self.tenants {
-            match tenants.binary_search_by(|known| known.name.cmp(&tenant.name)) {
-                Ok(at) => tenants[at] = tenant,
-                Err(at) => tenants.insert(at, tenant),
-            }
-        }
+        let tenants = self.tenants.apply(&old.tenants);
         Some(Config { version: self.version, routes, services, limits: self.limits, tenants })
     }
 }
--- a/src/discovery/table.rs
+++ b/src/discovery/table.rs
@@ -24,7 +24,7 @@
             index.push((route.host.to_ascii_lowercase(), route.prefix.clone(), at));
         }
         index.sort();
-        let credentials = credentials::Index::new(&config.tenants);
+        let credentials = credentials::Index::new(config.tenants.as_slice());
         Self { config, index, credentials }
     }
 
--- a/src/fair_order/gate.rs
+++ b/src/fair_order/gate.rs
@@ -316,9 +316,9 @@
     &mut services[at].1
 }
 
-/// Creates, keeps or ends the queues as a configuration requires: there are some if it has tenants.
+/// Creates, keeps or ends the queues as a configuration requires: there are some if requests need keys.
 pub fn apply_config(gate: &mut Option<Gate>, config: &config::Config, metrics: &metrics::Metrics) {
-    let is_active = !config.tenants.is_empty();
+    let is_active = config.tenants.require_keys();
     if is_active != gate.is_some() {
         event!(info, Event::FairOrderChanged, is_active, config = config.version.0);
     }
--- a/src/forward/header.rs
+++ b/src/forward/header.rs
@@ -18,7 +18,7 @@
     caller: authentication::Caller<'_>,
 ) -> http::HeaderMap {
     let options = connection_options(headers);
-    let has_tenants = caller != authentication::Caller::NoTenants;
+    let has_tenants = caller != authentication::Caller::Open;
     let mut forwarded = http::HeaderMap::with_capacity(headers.len() + 1);
     for (name, value) in headers {
         let is_replaced = name == names.deadline_ms || name == names.expected_searcher;
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -325,7 +325,7 @@
             id,
             route: route.name.clone(),
             tenant,
-            has_tenants: caller != authentication::Caller::NoTenants,
+            has_tenants: caller != authentication::Caller::Open,
             priority,
             target_ms: route.target_latency_ms,
             parts: route.target.parts(),
--- a/src/tenants/access.rs
+++ b/src/tenants/access.rs
@@ -93,7 +93,7 @@
             authentication::Caller::Tenant(tenant) => {
                 self.charge(request, tenant, table.config.version)?
             }
-            authentication::Caller::NoTenants | authentication::Caller::Exempt => None,
+            authentication::Caller::Open | authentication::Caller::Exempt => None,
         };
         Ok(Granted { caller, charge })
     }
--- a/src/tenants/authentication.rs
+++ b/src/tenants/authentication.rs
@@ -7,8 +7,8 @@
 /// Whom a request belongs to.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Caller<'a> {
-    /// The configuration has no tenants.
-    NoTenants,
+    /// The configuration has no list of tenants: requests need no key.
+    Open,
     /// The route needs no key.
     Exempt,
     /// The tenant that holds the request's key.
@@ -22,7 +22,7 @@
     pub fn tenant(self) -> Option<&'a tenant::Tenant> {
         match self {
             Self::Tenant(tenant) => Some(tenant),
-            Self::NoTenants | Self::Exempt | Self::Unknown => None,
+            Self::Open | Self::Exempt | Self::Unknown => None,
         }
     }
 
@@ -30,7 +30,7 @@
     pub fn priority(self, route: &config::Route) -> u8 {
         match self {
             Self::Tenant(tenant) => tenant::request_priority(tenant.priority, route.priority),
-            Self::NoTenants | Self::Exempt | Self::Unknown => route.priority,
+            Self::Open | Self::Exempt | Self::Unknown => route.priority,
         }
     }
 
@@ -38,7 +38,7 @@
     pub fn tenant_name(&self) -> Option<&str> {
         match self {
             Self::Tenant(tenant) => Some(&tenant.name),
-            Self::NoTenants | Self::Exempt | Self::Unknown => None,
+            Self::Open | Self::Exempt | Self::Unknown => None,
         }
     }
 }
@@ -52,9 +52,9 @@
     headers: &http::HeaderMap,
     name: &http::HeaderName,
 ) -> Caller<'a> {
-    if config.tenants.is_empty() {
-        return Caller::NoTenants;
-    }
+    let tenant::Tenants::Declared(tenants) = &config.tenants else {
+        return Caller::Open;
+    };
     if route.is_auth_exempt {
         return Caller::Exempt;
     }
@@ -63,7 +63,7 @@
         return Caller::Unknown;
     };
     match index.tenant(key.as_bytes()) {
-        Some(tenant) => Caller::Tenant(&config.tenants[tenant.0]),
+        Some(tenant) => Caller::Tenant(&tenants[tenant.0]),
         None => Caller::Unknown,
     }
 }
--- a/src/tenants/enforcement.rs
+++ b/src/tenants/enforcement.rs
@@ -210,7 +210,7 @@
         };
         self.config = table.config.version;
         let mut limits = Vec::new();
-        for tenant in &table.config.tenants {
+        for tenant in table.config.tenants.as_slice() {
             limits.extend(tenant.quota.map(|quota| (tenant.name.clone(), quota)));
         }
         limits.sort_by(|a, b| a.0.cmp(&b.0));
--- a/src/tenants/tenant.rs
+++ b/src/tenants/tenant.rs
@@ -43,6 +43,93 @@
     pub home_regions: Vec<CompactString>,
 }
 
+/// The tenants of a configuration.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub enum Tenants {
+    /// The configuration has no list of tenants: requests need no key.
+    #[default]
+    Open,
+    /// Requests need a key of one of these, which are sorted by name. If there are none, only exempt routes are served.
+    Declared(Vec<Tenant>),
+}
+
+impl Tenants {
+    /// The declared tenants, sorted by name.
+    pub fn as_slice(&self) -> &[Tenant] {
+        match self {
+            Self::Open => &[],
+            Self::Declared(tenants) => tenants,
+        }
+    }
+
+    /// Whether requests on routes that are not exempt need a key.
+    pub fn require_keys(&self) -> bool {
+        match self {
+            Self::Open => false,
+            Self::Declared(_) => true,
+        }
+    }
+
+    /// The tenant with this name; `None` if it is not declared.
+    pub fn find(&self, name: &str) -> Option<&Tenant> {
+        let tenants = self.as_slice();
+        let at = tenants.binary_search_by(|tenant| tenant.name.as_str().cmp(name)).ok()?;
+        tenants.get(at)
+    }
+}
+
+/// The differences between the tenants of two configurations.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum TenantsDelta {
+    /// The resulting configuration has no list of tenants.
+    Open,
+    /// The resulting configuration has one.
+    Declared {
+        /// Tenants that were added or changed.
+        changed: Vec<Tenant>,
+        /// Names of tenants that were removed.
+        removed: Vec<CompactString>,
+    },
+}
+
+impl TenantsDelta {
+    /// The delta from `old` to `new`.
+    pub fn between(old: &Tenants, new: &Tenants) -> Self {
+        if !new.require_keys() {
+            return Self::Open;
+        }
+        let mut changed = Vec::new();
+        for tenant in new.as_slice() {
+            if old.find(&tenant.name) != Some(tenant) {
+                changed.push(tenant.clone());
+            }
+        }
+        let mut removed = Vec::new();
+        for tenant in old.as_slice() {
+            if new.find(&tenant.name).is_none() {
+                removed.push(tenant.name.clone());
+            }
+        }
+        Self::Declared { changed, removed }
+    }
+
+    /// Applies the delta to `old`.
+    pub fn apply(self, old: &Tenants) -> Tenants {
+        let Self::Declared { changed, removed } = self else {
+            return Tenants::Open;
+        };
+        let mut tenants = old.as_slice().to_vec();
+        tenants.retain(|tenant| !removed.contains(&tenant.name));
+        for tenant in changed {
+            match tenants.binary_search_by(|known| known.name.cmp(&tenant.name)) {
+                Ok(at) => tenants[at] = tenant,
+                Err(at) => tenants.insert(at, tenant),
+            }
+        }
+        Tenants::Declared(tenants)
+    }
+}
+
 /// Returns the priority of a request of a tenant on a route: the tenant's goes before the route's.
 pub fn request_priority(tenant_priority: u8, route_priority: u8) -> u8 {
     let route_priority = route_priority.min(ROUTE_PRIORITIES - 1);
--- a/tests/fair_order.rs
+++ b/tests/fair_order.rs
@@ -469,7 +469,7 @@
     assert_eq!(second.tick(now_us, &mut fixture.context()).len(), 0, "the room is taken");
 }
 
-/// Guards against queues in deployments without tenants, and against queues that outlive the last tenant.
+/// Guards against queues in deployments without tenants, and against queues that outlive the list of tenants.
 #[test]
 fn there_are_queues_only_while_the_configuration_has_tenants() {
     let without = forward_support::configuration(1, Vec::new());
@@ -480,7 +480,10 @@
         quota: None,
         home_regions: Vec::new(),
     };
-    let with = tarragondoor::discovery::config::Config { tenants: vec![tenant], ..without.clone() };
+    let with = tarragondoor::discovery::config::Config {
+        tenants: tarragondoor::tenants::tenant::Tenants::Declared(vec![tenant]),
+        ..without.clone()
+    };
     let mut found = Vec::new();
     let mut gate = None;
     for config in [&without, &with, &with, &without] {
--- a/tests/forward_support/mod.rs
+++ b/tests/forward_support/mod.rs
@@ -16,6 +16,7 @@
 use tarragondoor::forward::query;
 use tarragondoor::ids;
 use tarragondoor::placement::homes;
+use tarragondoor::tenants::tenant;
 
 pub const SECOND_US: u64 = 1_000_000;
 pub const NEAR: &str = "north-a";
@@ -200,7 +201,7 @@
         routes,
         services: vec![declared_service("a", 40)],
         limits: limits(),
-        tenants: Vec::new(),
+        tenants: tenant::Tenants::Open,
     }
 }
 
--- a/tests/tenant_credentials.rs
+++ b/tests/tenant_credentials.rs
@@ -28,6 +28,7 @@
 fn with_tenants(version: u64, tenants: Vec<tenant::Tenant>) -> config::Config {
     let exempt = config::Route { is_auth_exempt: true, ..route("open", "h", "/open/") };
     let routes = vec![route("closed", "h", "/"), exempt];
+    let tenants = tenant::Tenants::Declared(tenants);
     config::Config { tenants, ..configuration(version, routes) }
 }
 
@@ -62,7 +63,7 @@
 #[test]
 fn only_a_single_known_key_names_a_tenant() {
     let config = with_tenants(1, vec![tenant("a", 0, &["k1", "k2"]), tenant("b", 1, &["k3"])]);
-    let index = credentials::Index::new(&config.tenants);
+    let index = credentials::Index::new(config.tenants.as_slice());
     let name = http::HeaderName::from_static("x-key");
     let caller = |route: usize, keys: &[&str]| {
         let mut headers = http::HeaderMap::new();
@@ -72,17 +73,17 @@
         let route = &config.routes[route];
         authentication::authenticate(&config, &index, route, &headers, &name)
     };
-    assert_eq!(caller(0, &["k2"]), Caller::Tenant(&config.tenants[0]));
+    assert_eq!(caller(0, &["k2"]), Caller::Tenant(&config.tenants.as_slice()[0]));
     assert_eq!(caller(0, &["k3"]).tenant_name(), Some("b"));
     for keys in [&[][..], &["k9"], &[""], &["k1", "k1"], &["k1,k1"], &[" k1"], &["K1"], &["k"]] {
         assert_eq!(caller(0, keys), Caller::Unknown, "{keys:?}");
     }
     assert_eq!(caller(1, &["k9"]), Caller::Exempt);
-    let without = with_tenants(1, Vec::new());
+    let without = config::Config { tenants: tenant::Tenants::Open, ..config.clone() };
     let headers = http::HeaderMap::new();
     let caller =
         authentication::authenticate(&without, &index, &without.routes[0], &headers, &name);
-    assert_eq!(caller, Caller::NoTenants);
+    assert_eq!(caller, Caller::Open);
     let urgent = config::Route { priority: 7, ..route("late", "h", "/") };
     assert_eq!(caller.priority(&urgent), 7, "without tenants the route's priority is as before");
 }
@@ -113,9 +114,26 @@
         let delta = config::ConfigDelta::between(from, to);
         assert_eq!(delta.apply(from).as_ref(), Some(to));
     }
-    let back = config::Config { tenants: Vec::new(), ..old.clone() };
-    let newer = config::Config { version: config::ConfigVersion(3), ..back };
-    assert_eq!(config::ConfigDelta::between(&old, &newer).apply(&old), Some(newer));
+}
+
+/// Guards against instances that learn of a version by its changes, and take an empty list of tenants for none.
+#[test]
+fn deltas_and_frames_tell_an_empty_list_of_tenants_from_none() {
+    let open = with_tenants(1, Vec::new());
+    let open = config::Config { tenants: tenant::Tenants::Open, ..open };
+    let empty = with_tenants(2, Vec::new());
+    let declared = with_tenants(3, vec![tenant("a", 0, &["k1"])]);
+    for from in [&open, &empty, &declared] {
+        for to in [&open, &empty, &declared] {
+            let delta = feed::Update::ConfigDelta(config::ConfigDelta::between(from, to).into());
+            let bytes = delta.encode().unwrap();
+            let received: feed::Update = postcard::from_bytes(&bytes).unwrap();
+            let feed::Update::ConfigDelta(delta) = received.decompress().unwrap() else {
+                panic!("{delta:?}");
+            };
+            assert_eq!(delta.apply(from).as_ref(), Some(to));
+        }
+    }
 }
 
 /// Guards against keys in logs: anything may be printed with its `Debug` output.
@@ -123,7 +141,7 @@
 fn debug_output_contains_no_key() {
     let config = with_tenants(1, vec![tenant("a", 0, &["sesame"])]);
     let delta = config::ConfigDelta::between(&with_tenants(0, Vec::new()), &config);
-    let index = credentials::Index::new(&config.tenants);
+    let index = credentials::Index::new(config.tenants.as_slice());
     let updates = (feed::Update::ConfigDelta(delta.into()), feed::Update::Config(config.into()));
     let text = format!("{updates:?} {index:?}");
     assert!(text.contains("\"a\"") && !text.contains("sesame"), "{text}");
