Accept names of any characters in the configuration

Cause: the decoder refused the whole version for a tenant's name beyond visible ASCII, or a service's name that broke the rule of the project's own interface.

Change: services of the configuration have a type of their own, any text. Tenants' names are sent as their bytes. Labels of metrics are cut, and frames of subscribers have room for the names of a whole configuration.

--- a/src/discovery/config.rs
+++ b/src/discovery/config.rs
@@ -1,6 +1,5 @@
 //! The operator's configuration: routes, services and limits.
 
-use crate::ids;
 use crate::tenants::tenant;
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -26,6 +25,34 @@
     }
 }
 
+/// The name of a service in the operator's configuration and in searchers' entries: any text.
+///
+/// The names of the project's own interface ([`crate::ids::ServiceName`]) are parts of paths and keys, and follow a rule.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ServiceName(CompactString);
+
+impl ServiceName {
+    /// The name as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl std::fmt::Display for ServiceName {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::str::FromStr for ServiceName {
+    type Err = std::convert::Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Ok(Self(text.into()))
+    }
+}
+
 /// Whether a request may be executed more than once.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display, strum::EnumString,
@@ -42,7 +69,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WeightedService {
     /// The service.
-    pub service: ids::ServiceName,
+    pub service: ServiceName,
     /// Its weight, relative to the other weights of the route.
     pub weight: f64,
 }
@@ -51,7 +78,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Gather {
     /// The shards.
-    pub shards: Vec<ids::ServiceName>,
+    pub shards: Vec<ServiceName>,
     /// The maximum number of records in the answer.
     pub top_count: u32,
     /// The minimum share of the shards that an answer must cover, from 0 to 1.
@@ -72,7 +99,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Target {
     /// To a searcher of one service.
-    Service(ids::ServiceName),
+    Service(ServiceName),
     /// To a searcher of one of these services, chosen in proportion to their weights.
     Split(Vec<WeightedService>),
     /// To a searcher of each shard.
@@ -89,7 +116,7 @@
     }
 
     /// All services that a request on this route may use.
-    pub fn services(&self) -> Vec<&ids::ServiceName> {
+    pub fn services(&self) -> Vec<&ServiceName> {
         match self {
             Self::Service(service) => vec![service],
             Self::Split(parts) => parts.iter().map(|part| &part.service).collect(),
@@ -130,7 +157,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Its name.
-    pub name: ids::ServiceName,
+    pub name: ServiceName,
     /// The maximum number of connections that each of its searchers accepts from all callers together.
     pub connections_max: u32,
     /// For how long a searcher is cold after its start, in milliseconds.
@@ -171,7 +198,7 @@
 
 impl Config {
     /// The service with this name; `None` if the configuration does not declare it.
-    pub fn service(&self, name: &ids::ServiceName) -> Option<&Service> {
+    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
         let at = self.services.binary_search_by(|service| service.name.cmp(name)).ok()?;
         self.services.get(at)
     }
@@ -191,7 +218,7 @@
     /// Services that were added or changed.
     pub services: Vec<Service>,
     /// Names of services that were removed.
-    pub services_gone: Vec<ids::ServiceName>,
+    pub services_gone: Vec<ServiceName>,
     /// The limits for clients.
     pub limits: Limits,
     /// The differences between the tenants.
--- a/src/discovery/feed.rs
+++ b/src/discovery/feed.rs
@@ -19,8 +19,8 @@
 /// The largest frame: a configuration of one megabyte plus a margin.
 pub const FRAME_MAX_BYTES: usize = 4 << 20;
 
-/// The largest frame from a subscriber: the timeouts of clients on some ten thousand routes.
-pub const REQUEST_MAX_BYTES: usize = 256 << 10;
+/// The largest frame from a subscriber: an entry with its name for each route or tenant of such a configuration.
+pub const REQUEST_MAX_BYTES: usize = 2 << 20;
 
 /// Updates that are at least this large are compressed.
 const COMPRESS_MIN_BYTES: usize = 2 << 10;
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -3,7 +3,7 @@
 //! Several readers report the same searchers at different times. Each report carries the store revision of
 //! the change, and the highest revision wins, so reports may arrive in any order and more than once.
 
-use crate::ids;
+use crate::discovery::config;
 use crate::placement::cold;
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -99,7 +99,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Searcher {
     /// The service it belongs to.
-    pub service: ids::ServiceName,
+    pub service: config::ServiceName,
     /// The address it listens on.
     pub address: net::SocketAddr,
     /// Its failure domain.
--- a/src/fair_order/gate.rs
+++ b/src/fair_order/gate.rs
@@ -8,7 +8,6 @@
 use crate::fair_order::queue;
 use crate::fair_order::shares;
 use crate::fair_order::window;
-use crate::ids;
 
 /// The half-life of the work that is offered in each rank.
 const NEED_HALF_LIFE_US: f64 = 1_000_000.0;
@@ -156,7 +155,7 @@
 #[derive(Debug)]
 pub struct Gate {
     /// Sorted by service.
-    services: Vec<(ids::ServiceName, Service)>,
+    services: Vec<(config::ServiceName, Service)>,
     metrics: metrics::Metrics,
 }
 
@@ -167,7 +166,7 @@
     }
 
     /// Counts a part that has arrived.
-    pub fn record_arrival(&mut self, now_us: u64, name: &ids::ServiceName, class: &Class<'_>) {
+    pub fn record_arrival(&mut self, now_us: u64, name: &config::ServiceName, class: &Class<'_>) {
         let service = service_of(&mut self.services, name);
         service.flows.record_offered(now_us, class.flow);
         service.routes.record_offered(now_us, class.route);
@@ -178,7 +177,7 @@
     pub fn expected_start_us(
         &mut self,
         now_us: u64,
-        name: &ids::ServiceName,
+        name: &config::ServiceName,
         class: &Class<'_>,
         occupancy: Occupancy,
     ) -> u64 {
@@ -198,7 +197,7 @@
     pub fn takes_turn(
         &mut self,
         now_us: u64,
-        name: &ids::ServiceName,
+        name: &config::ServiceName,
         class: &Class<'_>,
         ticket: &mut Option<queue::Ticket>,
         occupancy: Occupancy,
@@ -219,7 +218,7 @@
     }
 
     /// Whether parts wait for the searchers of a service. Hedges then don't go ahead of them.
-    pub fn has_waiting(&mut self, now_us: u64, name: &ids::ServiceName) -> bool {
+    pub fn has_waiting(&mut self, now_us: u64, name: &config::ServiceName) -> bool {
         let service = service_of(&mut self.services, name);
         let before = service.queue.len();
         service.queue.prune(now_us);
@@ -228,7 +227,7 @@
     }
 
     /// Removes a part that waits no longer without having been sent.
-    pub fn leave(&mut self, name: &ids::ServiceName, ticket: &queue::Ticket) {
+    pub fn leave(&mut self, name: &config::ServiceName, ticket: &queue::Ticket) {
         let queue = &mut service_of(&mut self.services, name).queue;
         let before = queue.len();
         queue.leave(&ticket.place);
@@ -244,7 +243,7 @@
     pub fn record_send(
         &mut self,
         now_us: u64,
-        name: &ids::ServiceName,
+        name: &config::ServiceName,
         class: &Class<'_>,
         ticket: Option<queue::Ticket>,
     ) {
@@ -265,7 +264,7 @@
     pub fn record_end(
         &mut self,
         now_us: u64,
-        name: &ids::ServiceName,
+        name: &config::ServiceName,
         class: &Class<'_>,
         end: End,
         occupancy: Occupancy,
@@ -291,7 +290,7 @@
     }
 
     /// Drops the queues of services that are not in `names`, which must be sorted.
-    pub fn retain_services(&mut self, names: &[&ids::ServiceName]) {
+    pub fn retain_services(&mut self, names: &[&config::ServiceName]) {
         let mut dropped = 0;
         self.services.retain(|(name, service)| {
             let is_known = names.binary_search(&name).is_ok();
@@ -303,8 +302,8 @@
 }
 
 fn service_of<'a>(
-    services: &'a mut Vec<(ids::ServiceName, Service)>,
-    name: &ids::ServiceName,
+    services: &'a mut Vec<(config::ServiceName, Service)>,
+    name: &config::ServiceName,
 ) -> &'a mut Service {
     let at = match services.binary_search_by(|(known, _)| known.cmp(name)) {
         Ok(at) => at,
@@ -326,7 +325,7 @@
         *gate = None;
         return;
     }
-    let names: Vec<&ids::ServiceName> =
+    let names: Vec<&config::ServiceName> =
         config.services.iter().map(|service| &service.name).collect();
     gate.get_or_insert_with(|| Gate::new(metrics.clone())).retain_services(&names);
 }
--- a/src/fair_order/turns.rs
+++ b/src/fair_order/turns.rs
@@ -1,11 +1,11 @@
 //! What [`query`] asks about turns. Without tenants in the configuration there are no queues, and all answers are those
 //! of the balancer alone.
 
+use crate::discovery::config;
 use crate::fair_order::gate;
 use crate::fair_order::queue;
 use crate::forward::balancer;
 use crate::forward::query;
-use crate::ids;
 use compact_str::CompactString;
 
 /// A part waits for a busy searcher for at most the target latency divided by this.
@@ -42,7 +42,7 @@
         &mut self,
         now_us: u64,
         spec: &query::Spec,
-        service: &ids::ServiceName,
+        service: &config::ServiceName,
     ) -> Option<u64> {
         let accepts_us = self.accepts_from_us(now_us, spec, service, &[])?;
         let Some(gate) = &mut self.fair_order else {
@@ -60,7 +60,7 @@
         &self,
         now_us: u64,
         spec: &query::Spec,
-        service: &ids::ServiceName,
+        service: &config::ServiceName,
         tried: &[CompactString],
     ) -> Option<u64> {
         self.balancer.accepts_from_us(now_us, service, tried, spec.priority, &spec.homes)
@@ -79,7 +79,7 @@
         &mut self,
         now_us: u64,
         spec: &query::Spec,
-        service: &ids::ServiceName,
+        service: &config::ServiceName,
         part: &mut query::Part,
         reason: query::Reason,
     ) -> bool {
@@ -99,7 +99,7 @@
     }
 
     /// Removes a part that waits no longer without having been sent.
-    pub fn leave(&mut self, service: &ids::ServiceName, ticket: Option<queue::Ticket>) {
+    pub fn leave(&mut self, service: &config::ServiceName, ticket: Option<queue::Ticket>) {
         if let Some((gate, ticket)) = self.fair_order.as_mut().zip(ticket) {
             gate.leave(service, &ticket);
         }
@@ -110,7 +110,7 @@
         &mut self,
         now_us: u64,
         spec: &query::Spec,
-        service: &ids::ServiceName,
+        service: &config::ServiceName,
         part: &mut query::Part,
         candidate: balancer::Candidate,
     ) -> balancer::Choice {
--- a/src/forward/balancer.rs
+++ b/src/forward/balancer.rs
@@ -8,6 +8,7 @@
 //! With [`routing::Routing::ExpectedWork`], the round trip, the processing time and the queueing delay are those of
 //! [`backlog`] in place of the above; penalties, backoff and limits are the same.
 
+use crate::discovery::config;
 use crate::discovery::registry;
 use crate::event;
 use crate::events::Event;
@@ -18,7 +19,6 @@
 use crate::forward::endpoint;
 use crate::forward::limit;
 use crate::forward::send_limit;
-use crate::ids;
 use crate::placement::cold;
 use crate::placement::homes;
 use compact_str::CompactString;
@@ -357,7 +357,7 @@
         now_us: u64,
         records: &[registry::SearcherChange],
         distance: impl Fn(&str) -> endpoint::Distance,
-        connections_max: impl Fn(&ids::ServiceName) -> u32,
+        connections_max: impl Fn(&config::ServiceName) -> u32,
     ) {
         let mut old = std::mem::take(&mut self.entries);
         for record in records {
@@ -435,7 +435,7 @@
         &mut self,
         now_us: u64,
         unix_ms: u64,
-        rule: impl Fn(&ids::ServiceName) -> Option<cold::Rule>,
+        rule: impl Fn(&config::ServiceName) -> Option<cold::Rule>,
     ) {
         for entry in &mut self.entries {
             let Some(rule) = rule(&entry.endpoint.searcher.service) else {
@@ -476,7 +476,7 @@
     pub fn find(
         &self,
         now_us: u64,
-        service: &ids::ServiceName,
+        service: &config::ServiceName,
         tried: &[CompactString],
         profile: RequestProfile<'_>,
     ) -> Option<Candidate> {
@@ -533,7 +533,7 @@
     pub fn accepts_from_us(
         &self,
         now_us: u64,
-        service: &ids::ServiceName,
+        service: &config::ServiceName,
         tried: &[CompactString],
         priority: u8,
         homes: &homes::Homes,
@@ -553,7 +553,7 @@
     pub fn occupancy(
         &self,
         now_us: u64,
-        service: &ids::ServiceName,
+        service: &config::ServiceName,
         tried: &[CompactString],
         priority: u8,
         homes: &homes::Homes,
@@ -771,7 +771,7 @@
         }
     }
 
-    fn service_entries(&self, service: &ids::ServiceName) -> impl Iterator<Item = &Entry> {
+    fn service_entries(&self, service: &config::ServiceName) -> impl Iterator<Item = &Entry> {
         let start =
             self.entries.partition_point(|entry| entry.endpoint.searcher.service < *service);
         let end = self.entries.partition_point(|entry| entry.endpoint.searcher.service <= *service);
@@ -819,6 +819,6 @@
     backlog.finish(now_us, send_id.0, took_us, is_answered, profile)
 }
 
-fn sort_key(entry: &Entry) -> (&ids::ServiceName, &compact_str::CompactString) {
+fn sort_key(entry: &Entry) -> (&config::ServiceName, &compact_str::CompactString) {
     (&entry.endpoint.searcher.service, &entry.endpoint.id)
 }
--- a/src/forward/budget.rs
+++ b/src/forward/budget.rs
@@ -4,7 +4,7 @@
 //! fixed ratio of the clients' requests, plus a fixed number, the slack. Each instance applies the ratio to
 //! the requests that it received itself and takes an equal part of the slack, so no coordination is needed.
 
-use crate::ids;
+use crate::discovery::config;
 
 /// The number of counter buckets per window.
 const WINDOW_BUCKETS: usize = 40;
@@ -170,7 +170,7 @@
     /// larger than a later one are dropped.
     recent_active_counts: Vec<(u64, u32)>,
     /// Sorted by service.
-    service_budgets: Vec<(ids::ServiceName, ServiceBudget)>,
+    service_budgets: Vec<(config::ServiceName, ServiceBudget)>,
 }
 
 impl Budgets {
@@ -221,7 +221,7 @@
     }
 
     /// Counts a client's request to a service.
-    pub fn record_request(&mut self, now_us: u64, service: &ids::ServiceName, priority: u8) {
+    pub fn record_request(&mut self, now_us: u64, service: &config::ServiceName, priority: u8) {
         let service_budget = self.service_budget(service);
         service_budget.requests.add(now_us);
         let index = usize::from(priority).min(PRIORITY_SHARES.len() - 1);
@@ -229,7 +229,7 @@
     }
 
     /// Takes one extra send to a service from the budget. Returns `false` if none is left for this priority.
-    pub fn spend(&mut self, now_us: u64, service: &ids::ServiceName, priority: u8) -> bool {
+    pub fn spend(&mut self, now_us: u64, service: &config::ServiceName, priority: u8) -> bool {
         let rule = self.rule;
         let slack = self.slack(now_us);
         let service_budget = self.service_budget(service);
@@ -242,7 +242,7 @@
         true
     }
 
-    fn service_budget(&mut self, service: &ids::ServiceName) -> &mut ServiceBudget {
+    fn service_budget(&mut self, service: &config::ServiceName) -> &mut ServiceBudget {
         let index = match self.service_budgets.binary_search_by(|(known, _)| known.cmp(service)) {
             Ok(index) => index,
             Err(index) => {
--- a/src/forward/header.rs
+++ b/src/forward/header.rs
@@ -2,6 +2,7 @@
 
 use crate::forward::dialect;
 use crate::tenants::authentication;
+use crate::tenants::tenant;
 use compact_str::CompactString;
 
 /// A header's value; empty if the header is missing or is not visible ASCII.
@@ -30,14 +31,8 @@
         }
         forwarded.append(name.clone(), value.clone());
     }
-    let tenant = caller.tenant_name().map(http::HeaderValue::from_str);
-    match tenant {
-        Some(Ok(value)) => {
-            forwarded.insert(names.tenant.clone(), value);
-        }
-        // Not possible: the configuration's names are checked when it is read.
-        Some(Err(error)) => tracing::debug!(%error, "the tenant's name can't be sent in a header"),
-        None => {}
+    if let Some(value) = caller.tenant_name().and_then(tenant::header_value) {
+        forwarded.insert(names.tenant.clone(), value);
     }
     forwarded
 }
--- a/src/forward/query.rs
+++ b/src/forward/query.rs
@@ -8,6 +8,7 @@
 //! answered; from its target latency on, as soon as the minimum number of parts is; and immediately once that
 //! minimum can no longer be reached.
 
+use crate::discovery::config;
 use crate::expected_work::cost;
 use crate::fair_order::gate;
 use crate::fair_order::queue;
@@ -17,7 +18,6 @@
 use crate::forward::latency;
 use crate::forward::retry_after;
 use crate::forward::send_limit;
-use crate::ids;
 use crate::placement::homes;
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -58,7 +58,7 @@
     /// To how many searchers each part may be sent. Sends that certainly did not run don't count.
     pub attempts: u32,
     /// The service of each part.
-    pub services: Vec<ids::ServiceName>,
+    pub services: Vec<config::ServiceName>,
     /// The minimum number of answered parts for a successful result.
     pub parts_min: usize,
     /// Whether this is a gather.
@@ -290,7 +290,7 @@
     }
 
     /// Returns the services of the parts that failed, and the causes.
-    pub fn failures(&self) -> impl Iterator<Item = (&ids::ServiceName, PartFailure)> {
+    pub fn failures(&self) -> impl Iterator<Item = (&config::ServiceName, PartFailure)> {
         let parts = self.spec.services.iter().zip(&self.parts);
         parts.filter_map(|(service, part)| Some((service, part.failed?)))
     }
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -25,7 +25,6 @@
 use crate::forward::query;
 use crate::forward::send_limit;
 use crate::forward::shutdown;
-use crate::ids;
 use crate::locks;
 use crate::placement::cold;
 use compact_str::CompactString;
@@ -233,11 +232,11 @@
                 _ => endpoint::Distance::OtherRegion,
             }
         };
-        let connections_max = |service: &ids::ServiceName| {
+        let connections_max = |service: &config::ServiceName| {
             let service = table.as_ref().and_then(|table| table.config.service(service));
             service.map_or(CONNECTIONS_DEFAULT, |service| service.connections_max)
         };
-        let cold_rule = |service: &ids::ServiceName| {
+        let cold_rule = |service: &config::ServiceName| {
             table.as_ref()?.config.service(service).and_then(cold::Rule::of)
         };
         let now_us = clock::now_us();
@@ -254,7 +253,7 @@
     fn sync_placement(&self) {
         let evacuated = self.view.evacuated_zones();
         let table = self.view.table();
-        let rule = |service: &ids::ServiceName| {
+        let rule = |service: &config::ServiceName| {
             table.as_ref()?.config.service(service).and_then(cold::Rule::of)
         };
         let mut shared = locks::lock(&self.shared);
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -18,7 +18,6 @@
 use crate::forward::run;
 use crate::forward::send_limit;
 use crate::forward::shutdown;
-use crate::ids;
 use crate::placement::homes;
 use crate::rate_limit;
 use crate::tenants::access;
@@ -654,7 +653,7 @@
 }
 
 /// Picks a service at random, in proportion to the weights.
-fn pick_weighted(parts: &[config::WeightedService]) -> Option<ids::ServiceName> {
+fn pick_weighted(parts: &[config::WeightedService]) -> Option<config::ServiceName> {
     let total: f64 = parts.iter().map(|part| part.weight).sum();
     let mut remaining = rand::random::<f64>() * total;
     for part in parts {
--- a/src/tenants/metrics.rs
+++ b/src/tenants/metrics.rs
@@ -8,11 +8,14 @@
 use prometheus_client::metrics::family;
 use prometheus_client::registry;
 use std::sync;
+use xxhash_rust::xxh3;
 
 /// The most tenants with series of their own.
 const NAMED_MAX: usize = 20;
 /// The number of requests after which the named tenants are chosen anew. Counts are then halved.
 const ROUND_REQUESTS: u32 = 2_000;
+/// The maximum length of a tenant's label; longer names are cut.
+const LABEL_MAX_BYTES: usize = 64;
 /// The label of all tenants without a name of their own; also of requests that belong to no tenant.
 pub const OTHERS: &str = "(others)";
 /// The outcome of a request without a known key.
@@ -60,7 +63,7 @@
         }
         let is_named = !tenant.is_empty() && self.count(&mut state, tenant);
         drop(state);
-        let tenant = if is_named { tenant } else { OTHERS }.to_owned();
+        let tenant = if is_named { label(tenant) } else { OTHERS.to_owned() };
         self.requests.get_or_create(&Labels { tenant, outcome }).inc();
     }
 
@@ -95,7 +98,7 @@
                 continue;
             }
             for outcome in &state.outcomes {
-                self.requests.remove(&Labels { tenant: name.to_string(), outcome });
+                self.requests.remove(&Labels { tenant: label(&name), outcome });
             }
         }
         for (_, count) in &mut state.counts {
@@ -104,3 +107,14 @@
         state.counts.retain(|(_, count)| *count > 0);
     }
 }
+
+/// The label of a tenant: its name, which is cut if it is long and then ends with its hash, so that names that begin alike
+/// differ.
+fn label(name: &str) -> String {
+    if name.len() <= LABEL_MAX_BYTES {
+        return name.to_owned();
+    }
+    let hash = format!("~{:016x}", xxh3::xxh3_64(name.as_bytes()));
+    let end = name.floor_char_boundary(LABEL_MAX_BYTES - hash.len());
+    format!("{}{hash}", &name[..end])
+}
--- a/src/tenants/tenant.rs
+++ b/src/tenants/tenant.rs
@@ -28,10 +28,20 @@
     pub burst: f64,
 }
 
+/// Returns the value of a header that carries `text` unchanged; `None` if there is none: recipients strip white space at
+/// either end, and control characters can't be sent.
+pub fn header_value(text: &str) -> Option<http::HeaderValue> {
+    let is_stripped = text.trim_matches([' ', '\t']).len() < text.len();
+    if text.is_empty() || is_stripped {
+        return None;
+    }
+    http::HeaderValue::from_bytes(text.as_bytes()).ok()
+}
+
 /// A tenant.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Tenant {
-    /// Its name, unique in a configuration.
+    /// Its name, unique in a configuration. Searchers get it in a header ([`header_value`]).
     pub name: CompactString,
     /// Its valid keys.
     pub credentials: Vec<Credential>,
--- a/tests/tenant_credentials.rs
+++ b/tests/tenant_credentials.rs
@@ -14,6 +14,7 @@
 use tarragondoor::tenants::credentials;
 use tarragondoor::tenants::metrics;
 use tarragondoor::tenants::tenant;
+use tarragondoor::tenants::usage;
 
 fn tenant(name: &str, priority: u8, keys: &[&str]) -> tenant::Tenant {
     tenant::Tenant {
@@ -136,6 +137,31 @@
     }
 }
 
+/// Guards against names that reach searchers as another name, or not at all.
+#[test]
+fn a_header_carries_a_name_unchanged_or_there_is_none() {
+    let mut lines = Vec::new();
+    for name in
+        ["t", "a b", "\u{e9}\t\u{1f3b5}", "", " a", "a ", "\ta", "a\nb", "a\u{7f}", "\u{a0}a"]
+    {
+        let value = tenant::header_value(name);
+        assert!(value.as_ref().is_none_or(|value| value.as_bytes() == name.as_bytes()));
+        lines.push(format!("{name:?}: {}", if value.is_some() { "sent" } else { "not sent" }));
+    }
+    insta::assert_snapshot!(lines.join("\n"), @r#"
+    "t": sent
+    "a b": sent
+    "é\t🎵": sent
+    "": not sent
+    " a": not sent
+    "a ": not sent
+    "\ta": not sent
+    "a\nb": not sent
+    "a\u{7f}": not sent
+    "\u{a0}a": sent
+    "#);
+}
+
 /// Guards against keys in logs: anything may be printed with its `Debug` output.
 #[test]
 fn debug_output_contains_no_key() {
@@ -147,6 +173,41 @@
     assert!(text.contains("\"a\"") && !text.contains("sesame"), "{text}");
 }
 
+/// Guards against labels as long as a tenant's name, and against one label for several names that begin alike.
+#[test]
+fn labels_of_long_names_are_short_and_differ() {
+    let metrics = metrics::Metrics::default();
+    let mut registry = prometheus_client::registry::Registry::default();
+    metrics.register(&mut registry);
+    let (long, cut_inside) = ("n".repeat(300), "\u{1f3b5}".repeat(75));
+    for name in [&long, &format!("{long}2"), &cut_inside, "a \"b\"\n"] {
+        metrics.record(name, "in_time");
+    }
+    let mut text = String::new();
+    prometheus_client::encoding::text::encode(&mut text, &registry).unwrap();
+    let mut lines: Vec<&str> = text.lines().filter(|line| line.contains("in_time")).collect();
+    lines.sort_unstable();
+    insta::assert_snapshot!(lines.join("\n"), @r#"
+    tenant_requests_total{tenant="a \"b\"\n",outcome="in_time"} 1
+    tenant_requests_total{tenant="nnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnn~9fe5220c292ac895",outcome="in_time"} 1
+    tenant_requests_total{tenant="nnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnnn~ac29f0d2c091e395",outcome="in_time"} 1
+    tenant_requests_total{tenant="🎵🎵🎵🎵🎵🎵🎵🎵🎵🎵🎵~0731270d5bc046f1",outcome="in_time"} 1
+    "#);
+}
+
+/// Guards against a subscriber that is cut off again and again because its report does not fit into a frame.
+#[test]
+fn a_report_on_all_tenants_of_a_large_configuration_fits_into_a_frame() {
+    let mut counts = Vec::new();
+    for number in 0..3_300 {
+        let tenant = CompactString::from(format!("{number:0300}"));
+        counts.push(usage::TenantCount { tenant, admitted: u64::MAX, offered: u64::MAX });
+    }
+    let report = usage::Report { age_us: 1, is_serving: true, wants_levels: None, counts };
+    let bytes = postcard::to_stdvec(&feed::Request::Usage(report)).unwrap();
+    assert!((1_000_000..feed::REQUEST_MAX_BYTES).contains(&bytes.len()), "{}", bytes.len());
+}
+
 /// Guards against metrics that grow with the number of tenants.
 #[test]
 fn only_the_tenants_with_the_most_requests_have_series_of_their_own() {
