Put all usable parts of a configuration in force

Callers saw: a version with one part that an instance could not use never came into force; withdrawn keys worked on and new routes got a final 404, as the version counted as had. An instance that started was never ready.

Cause: the configuration was decoded as one value, so that one unknown routeType, negative number, key of two tenants, null or 2.0 refused it, and the reader took a version that can't be read for no news.

Change: parts are decoded on their own, and discovery::builder decides what becomes of unusable ones. Their requests get 503 at once; no wider prefix and no other tenant serves them. Routes in deltas are told apart by name, host and prefix. A version that can't be read leaves the one in force, which then is not the newest. Events 411, 412 and 509, config_unusable_parts and check-config tell operators.

--- a/src/config_check/differences.rs
+++ b/src/config_check/differences.rs
@@ -10,12 +10,12 @@
     let mut lines = Vec::new();
     let delta = config::ConfigDelta::between(old, new);
     for route in &delta.routes {
-        match old.routes.iter().find(|known| known.name == route.name) {
+        match old.routes.iter().find(|known| known.key() == route.key()) {
             Some(known) => lines.push(changed("route", &route.name, known, route)),
             None => lines.push(format_compact!("route {}: added", route.name)),
         }
     }
-    lines.extend(delta.routes_gone.iter().map(|name| format_compact!("route {name}: removed")));
+    lines.extend(delta.routes_gone.iter().map(|id| format_compact!("route {}: removed", id.name)));
     for service in &delta.services {
         match old.service(&service.name) {
             Some(known) => lines.push(changed("service", service.name.as_str(), known, service)),
@@ -41,7 +41,7 @@
         (false, true) => lines.push("tenants: list added, requests need a key from now on".into()),
         (true, true) | (false, false) => {}
     }
-    let tenant::TenantsDelta::Declared { changed, removed } = delta else {
+    let tenant::TenantsDelta::Declared { changed, removed, unusable_keys: _ } = delta else {
         return;
     };
     for tenant in changed {
--- a/src/config_check/rules.rs
+++ b/src/config_check/rules.rs
@@ -47,6 +47,9 @@
                 let message = "never matches: prefix has to begin and end with a slash";
                 self.findings.error(place.clone(), message);
             }
+            if route.target == config::Target::Unusable {
+                continue;
+            }
             if route.timeout_ms == 0 {
                 self.findings.error(place.clone(), "a timeout of 0 ms refuses every request");
             }
@@ -68,7 +71,7 @@
 
     fn target(&mut self, place: &CompactString, route: &config::Route) {
         match &route.target {
-            config::Target::Service(_) => {}
+            config::Target::Service(_) | config::Target::Unusable => {}
             config::Target::Split(parts) => {
                 for part in parts {
                     if !part.weight.is_finite() || part.weight < 0.0 {
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -4,6 +4,7 @@
 //! does not grow with the number of instances. A few (the *hubs*) stream changes to all others over long-lived
 //! connections. Hubs and readers are the same instances unless the store turns some of them away.
 
+pub mod builder;
 pub mod client_wait;
 pub mod config;
 pub mod feed;
--- a/src/discovery/config.rs
+++ b/src/discovery/config.rs
@@ -104,6 +104,8 @@
     Split(Vec<WeightedService>),
     /// To a searcher of each shard.
     Gather(Gather),
+    /// Nowhere: the route can't be used, and its requests are refused.
+    Unusable,
 }
 
 impl Target {
@@ -112,6 +114,7 @@
         match self {
             Self::Service(_) | Self::Split(_) => 1,
             Self::Gather(gather) => gather.shards.len(),
+            Self::Unusable => 0,
         }
     }
 
@@ -121,14 +124,26 @@
             Self::Service(service) => vec![service],
             Self::Split(parts) => parts.iter().map(|part| &part.service).collect(),
             Self::Gather(gather) => gather.shards.iter().collect(),
+            Self::Unusable => Vec::new(),
         }
     }
 }
 
+/// Identifies a route in a configuration.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RouteId {
+    /// Its name.
+    pub name: CompactString,
+    /// The host it matches.
+    pub host: CompactString,
+    /// The path prefix it matches.
+    pub prefix: CompactString,
+}
+
 /// One route.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
-    /// Its name, unique in a configuration.
+    /// Its name.
     pub name: CompactString,
     /// The host it matches.
     pub host: CompactString,
@@ -153,6 +168,25 @@
     pub home_regions: Vec<CompactString>,
 }
 
+impl RouteId {
+    /// The fields, to compare with [`Route::key`].
+    fn key(&self) -> (&str, &str, &str) {
+        (&self.name, &self.host, &self.prefix)
+    }
+}
+
+impl Route {
+    /// What identifies the route, without a copy of it: name, host and prefix.
+    pub fn key(&self) -> (&str, &str, &str) {
+        (&self.name, &self.host, &self.prefix)
+    }
+
+    fn id(&self) -> RouteId {
+        let (name, host) = (self.name.clone(), self.host.clone());
+        RouteId { name, host, prefix: self.prefix.clone() }
+    }
+}
+
 /// One service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
@@ -181,6 +215,18 @@
     pub idle_timeout_ms: u64,
 }
 
+impl Default for Limits {
+    /// The limits of a configuration that states none.
+    fn default() -> Self {
+        Self {
+            header_max_bytes: 16 << 10,
+            body_max_bytes: 256 << 10,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        }
+    }
+}
+
 /// A complete configuration.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Config {
@@ -194,6 +240,8 @@
     pub limits: Limits,
     /// The tenants.
     pub tenants: tenant::Tenants,
+    /// How many of its parts can't be used.
+    pub unusable_count: u32,
 }
 
 impl Config {
@@ -213,8 +261,8 @@
     pub version: ConfigVersion,
     /// Routes that were added or changed.
     pub routes: Vec<Route>,
-    /// Names of routes that were removed.
-    pub routes_gone: Vec<CompactString>,
+    /// Routes that were removed.
+    pub routes_gone: Vec<RouteId>,
     /// Services that were added or changed.
     pub services: Vec<Service>,
     /// Names of services that were removed.
@@ -223,16 +271,18 @@
     pub limits: Limits,
     /// The differences between the tenants.
     pub tenants: tenant::TenantsDelta,
+    /// How many parts of the resulting configuration can't be used.
+    pub unusable_count: u32,
 }
 
 impl ConfigDelta {
     /// The delta from `old` to `new`.
     pub fn between(old: &Config, new: &Config) -> Self {
-        let old_routes = by_name(&old.routes);
-        let new_routes = by_name(&new.routes);
+        let old_routes = by_key(&old.routes);
+        let new_routes = by_key(&new.routes);
         let mut routes = Vec::new();
         for route in &new.routes {
-            let known = old_routes.binary_search_by(|old| old.name.cmp(&route.name)).ok();
+            let known = old_routes.binary_search_by(|old| old.key().cmp(&route.key())).ok();
             if known.is_some_and(|at| old_routes[at] == route) {
                 continue;
             }
@@ -240,8 +290,8 @@
         }
         let mut routes_gone = Vec::new();
         for route in &old.routes {
-            if new_routes.binary_search_by(|new| new.name.cmp(&route.name)).is_err() {
-                routes_gone.push(route.name.clone());
+            if new_routes.binary_search_by(|new| new.key().cmp(&route.key())).is_err() {
+                routes_gone.push(route.id());
             }
         }
         let mut services = Vec::new();
@@ -265,6 +315,7 @@
             services_gone,
             limits: new.limits,
             tenants: tenant::TenantsDelta::between(&old.tenants, &new.tenants),
+            unusable_count: new.unusable_count,
         }
     }
 
@@ -274,9 +325,9 @@
             return None;
         }
         let mut routes = old.routes.clone();
-        routes.retain(|route| !self.routes_gone.contains(&route.name));
+        routes.retain(|route| !self.routes_gone.iter().any(|gone| gone.key() == route.key()));
         for route in self.routes {
-            match routes.iter_mut().find(|known| known.name == route.name) {
+            match routes.iter_mut().find(|known| known.key() == route.key()) {
                 Some(known) => *known = route,
                 None => routes.push(route),
             }
@@ -290,12 +341,19 @@
             }
         }
         let tenants = self.tenants.apply(&old.tenants);
-        Some(Config { version: self.version, routes, services, limits: self.limits, tenants })
+        Some(Config {
+            version: self.version,
+            routes,
+            services,
+            limits: self.limits,
+            tenants,
+            unusable_count: self.unusable_count,
+        })
     }
 }
 
-fn by_name(routes: &[Route]) -> Vec<&Route> {
+fn by_key(routes: &[Route]) -> Vec<&Route> {
     let mut sorted: Vec<&Route> = routes.iter().collect();
-    sorted.sort_by(|a, b| a.name.cmp(&b.name));
+    sorted.sort_by(|a, b| a.key().cmp(&b.key()));
     sorted
 }
--- a/src/discovery/feed.rs
+++ b/src/discovery/feed.rs
@@ -27,7 +27,7 @@
 
 /// The key of the frames' checksums. The platform gives instances no shared secret, so the checksums detect
 /// corruption and accidental connections from other software, but not forgery.
-pub const FRAME_KEY: [u8; 32] = *b"tarragondoor feed frames, v6\0\0\0\0";
+pub const FRAME_KEY: [u8; 32] = *b"tarragondoor feed frames, v7\0\0\0\0";
 
 /// A message from a subscriber to its source.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/discovery/publisher.rs
+++ b/src/discovery/publisher.rs
@@ -499,7 +499,7 @@
             searchers_age_us,
             searchers_as_of,
             config_age_us,
-            read_age_us: ages.searchers_us.zip(ages.config_us).map(|(a, b)| a.max(b)),
+            read_age_us: self.shared.view.own_read_age_us(),
             evacuations: self.shared.view.evacuations_summary(),
         };
         let mut buffer = Vec::new();
--- a/src/discovery/reader.rs
+++ b/src/discovery/reader.rs
@@ -1,6 +1,7 @@
 //! Reads the platform's store while this instance has the reader role or its view is stale.
 
 use crate::clock;
+use crate::discovery::builder;
 use crate::discovery::publisher;
 use crate::discovery::registry;
 use crate::discovery::stand_in;
@@ -16,6 +17,8 @@
 use std::time;
 use xxhash_rust::xxh3;
 
+/// How many unusable parts of a configuration are named in the log.
+const UNUSABLE_NAMED_MAX: usize = 10;
 /// How long a watch of the configuration waits at the store, as a share of [`Bounds::config_apply`], or of
 /// [`Bounds::evacuate`] if that is shorter: the same watch reports evacuated zones. A second
 /// watch still fits into the bound if the first one's connection does not respond.
@@ -207,9 +210,28 @@
         }
     }
 
+    /// Offers a configuration, and logs which parts of it can't be used: how many, and the first ones.
+    fn offer_config(&self, built: builder::Built, age_us: u64) {
+        let version = built.config.version;
+        if !self.view.offer_config(built.config, age_us) || built.unusable.is_empty() {
+            return;
+        }
+        let named = built.unusable.iter().take(UNUSABLE_NAMED_MAX);
+        let parts: Vec<String> = named.map(ToString::to_string).collect();
+        event!(
+            warn,
+            Event::PartsUnusable,
+            version = version.0,
+            count = built.unusable.len(),
+            parts = parts.join("; ")
+        );
+    }
+
     async fn track_config(&self) {
         let mut after: Option<registry::StoreRevision> = None;
         let mut backoff = BACKOFF_MIN;
+        // Whether the newest configuration in the store can't be read, so that the one in force is not the newest.
+        let mut is_unreadable = false;
         loop {
             if !self.should_read() {
                 after = None;
@@ -229,11 +251,19 @@
                     let is_first = after.is_none();
                     after = Some(read.as_of);
                     self.view.offer_evacuations(read.as_of, &read.evacuations);
-                    if let Some(config) = read.config {
-                        self.view.offer_config(config, age_us);
+                    is_unreadable = match read.config {
+                        Some(_) => read.is_newest_unreadable,
+                        None => is_unreadable || read.is_newest_unreadable,
+                    };
+                    if let Some(built) = read.config {
+                        self.offer_config(built, age_us);
                     }
                     // A watch that returns without a change confirms the state at its end.
-                    self.view.mark_config_verified(if is_first { age_us } else { 0 });
+                    let verified_age_us = if is_first { age_us } else { 0 };
+                    match is_unreadable {
+                        true => self.view.mark_config_unreadable(verified_age_us),
+                        false => self.view.mark_config_verified(verified_age_us),
+                    }
                     self.stand_in_after_answer(read_age_us);
                 }
                 Err(store_client::StoreError::HistoryLost) if after.is_some() => after = None,
--- a/src/discovery/store_client.rs
+++ b/src/discovery/store_client.rs
@@ -1,6 +1,6 @@
 //! The interface through which a reader accesses the platform's store.
 
-use crate::discovery::config;
+use crate::discovery::builder;
 use crate::discovery::registry;
 use crate::placement::evacuation;
 use std::time;
@@ -30,8 +30,10 @@
 pub struct ConfigRead {
     /// The store revision at the time of the answer.
     pub as_of: registry::StoreRevision,
-    /// The newest configuration; `None` if the answer has none that can be decoded.
-    pub config: Option<config::Config>,
+    /// The newest configuration that can be read; `None` if the answer has none.
+    pub config: Option<builder::Built>,
+    /// Whether a newer one can't be read.
+    pub is_newest_unreadable: bool,
     /// The evacuated zones, or their changes after a watch.
     pub evacuations: evacuation::Read,
 }
--- a/src/discovery/table.rs
+++ b/src/discovery/table.rs
@@ -10,7 +10,7 @@
 pub struct RouteTable {
     /// The configuration.
     pub config: sync::Arc<config::Config>,
-    /// Lower-case host, prefix and position in `config.routes`; sorted.
+    /// Lower-case host, prefix and position in `config.routes`; sorted by host, prefix and the route's name.
     index: Vec<(CompactString, CompactString, usize)>,
     /// The tenants' keys.
     pub credentials: credentials::Index,
@@ -23,7 +23,10 @@
         for (at, route) in config.routes.iter().enumerate() {
             index.push((route.host.to_ascii_lowercase(), route.prefix.clone(), at));
         }
-        index.sort();
+        // Of several routes that match the same requests all instances choose the same one.
+        index.sort_by(|a, b| {
+            (&a.0, &a.1, &config.routes[a.2].name).cmp(&(&b.0, &b.1, &config.routes[b.2].name))
+        });
         let credentials = credentials::Index::new(config.tenants.as_slice());
         Self { config, index, credentials }
     }
@@ -36,11 +39,14 @@
         // Prefixes end with a slash, so only prefixes of the path that end with one can match.
         while let Some(slash) = path[..end].rfind('/') {
             let prefix = &path[..=slash];
-            let found = self
+            let at = self
                 .index
-                .binary_search_by(|(h, p, _)| (h.as_str(), p.as_str()).cmp(&(&host, prefix)));
-            if let Ok(at) = found {
-                return self.config.routes.get(self.index[at].2);
+                .partition_point(|(h, p, _)| (h.as_str(), p.as_str()) < (host.as_str(), prefix));
+            match self.index.get(at) {
+                Some((h, p, route)) if *h == host && p == prefix => {
+                    return self.config.routes.get(*route);
+                }
+                Some(_) | None => {}
             }
             end = slash;
         }
--- a/src/discovery/view.rs
+++ b/src/discovery/view.rs
@@ -45,6 +45,8 @@
     /// When that was the store's revision; `None` if that is not known.
     searchers_as_of_us: Option<u64>,
     config_verified_us: Option<u64>,
+    /// When the store last said which configuration it has, also if it can't be read.
+    config_asked_us: Option<u64>,
     /// When a source last knew both the configuration and the searchers, whether or not it has sent them yet.
     read_by_source_us: Option<u64>,
     /// The newest version that another instance has, as far as it is known.
@@ -55,6 +57,13 @@
     evacuations: Option<evacuation::Zones>,
 }
 
+impl Inner {
+    /// When both the searchers and the configuration were last known from the store.
+    fn own_read_us(&self) -> Option<u64> {
+        self.searchers_verified_us.min(self.config_asked_us)
+    }
+}
+
 /// The time since each part of the state was last known to be current, in microseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ages {
@@ -81,6 +90,7 @@
                 searchers_as_of: registry::StoreRevision::default(),
                 searchers_as_of_us: None,
                 config_verified_us: None,
+                config_asked_us: None,
                 read_by_source_us: None,
                 newest_config: config::ConfigVersion::default(),
                 uses_evacuations: false,
@@ -114,6 +124,11 @@
         self.table.load().as_ref().map_or_else(Default::default, |table| table.config.version)
     }
 
+    /// How many parts of the configuration in force can't be used.
+    pub fn unusable_count(&self) -> u32 {
+        self.table.load().as_ref().map_or(0, |table| table.config.unusable_count)
+    }
+
     /// The configuration that preceded the one in force; most subscribers hold it.
     pub fn previous_config(&self) -> Option<sync::Arc<config::Config>> {
         locks::lock(&self.inner).previous_config.clone()
@@ -149,6 +164,7 @@
             version = version.0,
             previous = previous.as_ref().map_or(0, |table| table.config.version.0),
             routes = table.config.routes.len(),
+            unusable_parts = table.config.unusable_count,
             age_ms = age_us / 1_000
         );
         let previous = previous.map(|table| table.config.clone());
@@ -169,6 +185,15 @@
         let at_us = clock::now_us().saturating_sub(age_us);
         let mut inner = locks::lock(&self.inner);
         inner.config_verified_us = inner.config_verified_us.max(Some(at_us));
+        inner.config_asked_us = inner.config_asked_us.max(Some(at_us));
+    }
+
+    /// Records that the newest configuration could not be read `age_us` ago: the store can be reached, but the one in force
+    /// is not known to be the newest.
+    pub fn mark_config_unreadable(&self, age_us: u64) {
+        let at_us = clock::now_us().saturating_sub(age_us);
+        let mut inner = locks::lock(&self.inner);
+        inner.config_asked_us = inner.config_asked_us.max(Some(at_us));
     }
 
     /// Records that another instance has this version of the configuration.
@@ -278,8 +303,13 @@
     /// if none ever did. An old age means that the readers can't reach the store, not that updates are slow.
     pub fn read_age_us(&self) -> Option<u64> {
         let inner = locks::lock(&self.inner);
-        let own_us = inner.searchers_verified_us.min(inner.config_verified_us);
-        let at_us = own_us.max(inner.read_by_source_us)?;
+        let at_us = inner.own_read_us().max(inner.read_by_source_us)?;
+        Some(clock::now_us().saturating_sub(at_us))
+    }
+
+    /// How long ago this instance last knew both, from the store or its sources; `None` if it never did.
+    pub fn own_read_age_us(&self) -> Option<u64> {
+        let at_us = locks::lock(&self.inner).own_read_us()?;
         Some(clock::now_us().saturating_sub(at_us))
     }
 
--- a/src/events.rs
+++ b/src/events.rs
@@ -62,6 +62,10 @@
     StandIn = 409,
     /// The store was restored from an older copy, and some of its entries are older than what is known.
     StoreRestored = 410,
+    /// Parts of a configuration that came into force can't be used.
+    PartsUnusable = 411,
+    /// A configuration in the store can't be read at all.
+    ConfigUnreadable = 412,
     /// A connection could not be accepted.
     AcceptFailed = 500,
     /// A request was answered completely and in time.
@@ -80,6 +84,8 @@
     RefusedByShutdown = 507,
     /// A request has no key that a tenant holds.
     UnknownKey = 508,
+    /// A request belongs to a part of the configuration that can't be used.
+    UnusablePart = 509,
     /// A request was over its tenant's quota.
     OverQuota = 520,
     /// The instance decides on quotas without levels from a hub.
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -78,6 +78,7 @@
     members_delay: histogram::Histogram,
     feed_sent_bytes: Counters<FeedLabels>,
     config_version: gauge::Gauge,
+    config_unusable_parts: gauge::Gauge,
     config_age_ms: gauge::Gauge,
     searchers_age_ms: gauge::Gauge,
     searchers: gauge::Gauge,
@@ -111,6 +112,7 @@
             feed_sent_bytes: Counters::default(),
             members_delay: histogram::Histogram::new(LATENCY_BOUNDS_S.iter().copied()),
             config_version: gauge::Gauge::default(),
+            config_unusable_parts: gauge::Gauge::default(),
             config_age_ms: gauge::Gauge::default(),
             searchers_age_ms: gauge::Gauge::default(),
             searchers: gauge::Gauge::default(),
@@ -172,6 +174,11 @@
             "Version of the configuration in force",
             self.config_version.clone(),
         );
+        registry.register(
+            "config_unusable_parts",
+            "Parts of the configuration in force that can't be used",
+            self.config_unusable_parts.clone(),
+        );
         registry.register(
             "config_age_ms",
             "Time since the configuration was known to be the newest, -1 if there is none",
@@ -278,6 +285,7 @@
         let ages = view.ages();
         let age_ms = |age_us: Option<u64>| age_us.map_or(-1, |us| (us / 1_000) as i64);
         self.config_version.set(view.config_version().0 as i64);
+        self.config_unusable_parts.set(view.unusable_count().into());
         self.config_age_ms.set(age_ms(ages.config_us));
         self.searchers_age_ms.set(age_ms(ages.searchers_us));
         self.searchers.set(view.with_registry(|registry| registry.live_count()) as i64);
--- a/src/forward/retry_after.rs
+++ b/src/forward/retry_after.rs
@@ -38,6 +38,12 @@
     jitter((waiting_us / 1_000).clamp(UNREADY_MIN_MS, UNREADY_MAX_MS))
 }
 
+/// Returns the `Retry-After` time, in milliseconds, of a request that can't be served before the operator sends another
+/// configuration.
+pub fn unusable_ms() -> u64 {
+    jitter(UNREADY_MAX_MS)
+}
+
 /// Returns the `Retry-After` time, in milliseconds, of a request that no searcher has run and that searchers accept
 /// again in `wait_ms`. It is shorter only if `wait_ms` is longer than [`PAUSE_MAX_S`], and clients are spread over the
 /// time after it, urgent ones first.
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -247,6 +247,10 @@
             return Ok(self.close_if_stopping(response::status(http::StatusCode::BAD_REQUEST)));
         }
         let request = access::Request { id: &id, route, headers: &head.headers, arrived_us };
+        if route.target == config::Target::Unusable {
+            let response = self.access.refuse_unusable(request, table.config.version);
+            return Ok(self.close_if_stopping(response));
+        }
         let access::Granted { caller, mut charge } = match self.access.check(&table, request) {
             Ok(granted) => granted,
             Err(refusal) => return Ok(self.close_if_stopping(*refusal)),
@@ -633,6 +637,7 @@
         config::Target::Service(service) => (vec![service.clone()], 1, false),
         config::Target::Split(parts) => (pick_weighted(parts).into_iter().collect(), 1, false),
         config::Target::Gather(gather) => (gather.shards.clone(), gather.shards_min(), true),
+        config::Target::Unusable => (Vec::new(), 1, false),
     };
     query::Spec {
         route: route.name.clone(),
--- a/src/tenants/access.rs
+++ b/src/tenants/access.rs
@@ -21,6 +21,8 @@
 const UNKNOWN_KEY_LOG_LINES_PER_S: u32 = 5;
 /// The most log lines per second for requests over their tenant's quota: one tenant may send many.
 const OVER_QUOTA_LOG_LINES_PER_S: u32 = 20;
+/// The most log lines per second for requests to unusable parts of the configuration.
+const UNUSABLE_LOG_LINES_PER_S: u32 = 5;
 
 /// Decides whether requests of tenants are accepted.
 pub struct Access {
@@ -30,6 +32,7 @@
     config_apply: time::Duration,
     unknown_key_log_limit: rate_limit::RateLimit,
     over_quota_log_limit: rate_limit::RateLimit,
+    unusable_log_limit: rate_limit::RateLimit,
 }
 
 /// A request whose head has arrived.
@@ -66,6 +69,7 @@
             config_apply,
             unknown_key_log_limit: rate_limit::RateLimit::new(UNKNOWN_KEY_LOG_LINES_PER_S),
             over_quota_log_limit: rate_limit::RateLimit::new(OVER_QUOTA_LOG_LINES_PER_S),
+            unusable_log_limit: rate_limit::RateLimit::new(UNUSABLE_LOG_LINES_PER_S),
         }
     }
 
@@ -90,6 +94,9 @@
             authentication::Caller::Unknown => {
                 return Err(Box::new(self.refuse_unknown_key(request, table.config.version)));
             }
+            authentication::Caller::Unusable => {
+                return Err(Box::new(self.refuse_unusable(request, table.config.version)));
+            }
             authentication::Caller::Tenant(tenant) => {
                 self.charge(request, tenant, table.config.version)?
             }
@@ -124,6 +131,29 @@
         response::refuse(retry_after::unready_ms(age_us))
     }
 
+    /// The response to a request that the configuration has a part for which can't be used.
+    pub fn refuse_unusable(
+        &self,
+        request: Request<'_>,
+        version: config::ConfigVersion,
+    ) -> response::Response {
+        let now_us = clock::now_us();
+        let latency_s = now_us.saturating_sub(request.arrived_us) as f64 / 1e6;
+        let metrics = self.forwarder.metrics();
+        metrics.record_answer(request.route.priority, "unusable_part", latency_s, 0);
+        if let Some(left_out) = self.unusable_log_limit.allow(now_us) {
+            event!(
+                info,
+                Event::UnusablePart,
+                request = %request.id,
+                route = %request.route.name,
+                config = version.0,
+                left_out
+            );
+        }
+        response::refuse(retry_after::unusable_ms())
+    }
+
     /// Counts a request against its tenant's quota; `None` if the tenant has none.
     fn charge(
         &self,
--- a/src/tenants/authentication.rs
+++ b/src/tenants/authentication.rs
@@ -15,6 +15,8 @@
     Tenant(&'a tenant::Tenant),
     /// The request has no key, several, or one that no tenant holds.
     Unknown,
+    /// The request may have a valid key, but the configuration does not say whose it is in a way that can be used.
+    Unusable,
 }
 
 impl<'a> Caller<'a> {
@@ -22,7 +24,7 @@
     pub fn tenant(self) -> Option<&'a tenant::Tenant> {
         match self {
             Self::Tenant(tenant) => Some(tenant),
-            Self::Open | Self::Exempt | Self::Unknown => None,
+            Self::Open | Self::Exempt | Self::Unknown | Self::Unusable => None,
         }
     }
 
@@ -30,7 +32,7 @@
     pub fn priority(self, route: &config::Route) -> u8 {
         match self {
             Self::Tenant(tenant) => tenant::request_priority(tenant.priority, route.priority),
-            Self::Open | Self::Exempt | Self::Unknown => route.priority,
+            Self::Open | Self::Exempt | Self::Unknown | Self::Unusable => route.priority,
         }
     }
 
@@ -38,7 +40,7 @@
     pub fn tenant_name(&self) -> Option<&str> {
         match self {
             Self::Tenant(tenant) => Some(&tenant.name),
-            Self::Open | Self::Exempt | Self::Unknown => None,
+            Self::Open | Self::Exempt | Self::Unknown | Self::Unusable => None,
         }
     }
 }
@@ -52,9 +54,9 @@
     headers: &http::HeaderMap,
     name: &http::HeaderName,
 ) -> Caller<'a> {
-    let tenant::Tenants::Declared(tenants) = &config.tenants else {
+    if !config.tenants.require_keys() {
         return Caller::Open;
-    };
+    }
     if route.is_auth_exempt {
         return Caller::Exempt;
     }
@@ -62,8 +64,14 @@
     let (Some(key), None) = (keys.next(), keys.next()) else {
         return Caller::Unknown;
     };
-    match index.tenant(key.as_bytes()) {
-        Some(tenant) => Caller::Tenant(&tenants[tenant.0]),
-        None => Caller::Unknown,
+    let tenant::Tenants::Declared(declared) = &config.tenants else {
+        return Caller::Unusable;
+    };
+    if let Some(tenant) = index.tenant(key.as_bytes()) {
+        return Caller::Tenant(&declared.tenants[tenant.0]);
+    }
+    match declared.unusable_keys.may_contain(key.as_bytes()) {
+        true => Caller::Unusable,
+        false => Caller::Unknown,
     }
 }
--- a/src/tenants/tenant.rs
+++ b/src/tenants/tenant.rs
@@ -59,16 +59,45 @@
     /// The configuration has no list of tenants: requests need no key.
     #[default]
     Open,
-    /// Requests need a key of one of these, which are sorted by name. If there are none, only exempt routes are served.
-    Declared(Vec<Tenant>),
+    /// Requests need a key of one of these tenants. If there are none, only exempt routes are served.
+    Declared(Declared),
+    /// Requests need a key, but the list can't be read: only exempt routes are served.
+    Unusable,
+}
+
+/// The tenants that a configuration declares.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Declared {
+    /// The tenants, sorted by name.
+    pub tenants: Vec<Tenant>,
+    /// The keys that can't be attributed to one of them.
+    pub unusable_keys: UnusableKeys,
+}
+
+/// Keys that a configuration holds, but not in a way that says which tenant their requests belong to: of several tenants,
+/// or of a tenant that can't be used.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct UnusableKeys {
+    /// The keys, sorted.
+    pub keys: Vec<Credential>,
+    /// Whether there are more, which can't be read.
+    pub are_incomplete: bool,
+}
+
+impl UnusableKeys {
+    /// Whether `key` is one of them, or may be. Only for keys that no tenant holds.
+    pub fn may_contain(&self, key: &[u8]) -> bool {
+        self.are_incomplete
+            || self.keys.binary_search_by(|known| known.0.as_bytes().cmp(key)).is_ok()
+    }
 }
 
 impl Tenants {
     /// The declared tenants, sorted by name.
     pub fn as_slice(&self) -> &[Tenant] {
         match self {
-            Self::Open => &[],
-            Self::Declared(tenants) => tenants,
+            Self::Open | Self::Unusable => &[],
+            Self::Declared(declared) => &declared.tenants,
         }
     }
 
@@ -76,7 +105,7 @@
     pub fn require_keys(&self) -> bool {
         match self {
             Self::Open => false,
-            Self::Declared(_) => true,
+            Self::Declared(_) | Self::Unusable => true,
         }
     }
 
@@ -99,17 +128,23 @@
         changed: Vec<Tenant>,
         /// Names of tenants that were removed.
         removed: Vec<CompactString>,
+        /// All keys of the resulting configuration that can't be used.
+        unusable_keys: UnusableKeys,
     },
+    /// The resulting configuration has one that can't be read.
+    Unusable,
 }
 
 impl TenantsDelta {
     /// The delta from `old` to `new`.
     pub fn between(old: &Tenants, new: &Tenants) -> Self {
-        if !new.require_keys() {
-            return Self::Open;
-        }
+        let declared = match new {
+            Tenants::Open => return Self::Open,
+            Tenants::Unusable => return Self::Unusable,
+            Tenants::Declared(declared) => declared,
+        };
         let mut changed = Vec::new();
-        for tenant in new.as_slice() {
+        for tenant in &declared.tenants {
             if old.find(&tenant.name) != Some(tenant) {
                 changed.push(tenant.clone());
             }
@@ -120,13 +155,15 @@
                 removed.push(tenant.name.clone());
             }
         }
-        Self::Declared { changed, removed }
+        Self::Declared { changed, removed, unusable_keys: declared.unusable_keys.clone() }
     }
 
     /// Applies the delta to `old`.
     pub fn apply(self, old: &Tenants) -> Tenants {
-        let Self::Declared { changed, removed } = self else {
-            return Tenants::Open;
+        let (changed, removed, unusable_keys) = match self {
+            Self::Open => return Tenants::Open,
+            Self::Unusable => return Tenants::Unusable,
+            Self::Declared { changed, removed, unusable_keys } => (changed, removed, unusable_keys),
         };
         let mut tenants = old.as_slice().to_vec();
         tenants.retain(|tenant| !removed.contains(&tenant.name));
@@ -136,7 +173,7 @@
                 Err(at) => tenants.insert(at, tenant),
             }
         }
-        Tenants::Declared(tenants)
+        Tenants::Declared(Declared { tenants, unusable_keys })
     }
 }
 
--- a/tests/fair_order.rs
+++ b/tests/fair_order.rs
@@ -481,7 +481,9 @@
         home_regions: Vec::new(),
     };
     let with = tarragondoor::discovery::config::Config {
-        tenants: tarragondoor::tenants::tenant::Tenants::Declared(vec![tenant]),
+        tenants: tarragondoor::tenants::tenant::Tenants::Declared(
+            tarragondoor::tenants::tenant::Declared { tenants: vec![tenant], ..Default::default() },
+        ),
         ..without.clone()
     };
     let mut found = Vec::new();
--- a/tests/forward_support/mod.rs
+++ b/tests/forward_support/mod.rs
@@ -201,6 +201,7 @@
         services: vec![declared_service("a", 40)],
         limits: limits(),
         tenants: tenant::Tenants::Open,
+        unusable_count: 0,
     }
 }
 
--- a/tests/tenant_credentials.rs
+++ b/tests/tenant_credentials.rs
@@ -4,9 +4,11 @@
 
 use compact_str::CompactString;
 use forward_support::configuration;
+use forward_support::declared_service;
 use forward_support::route;
 use quickcheck::Arbitrary as _;
 use std::collections::HashMap;
+use tarragondoor::discovery::builder;
 use tarragondoor::discovery::config;
 use tarragondoor::discovery::feed;
 use tarragondoor::tenants::authentication;
@@ -29,7 +31,8 @@
 fn with_tenants(version: u64, tenants: Vec<tenant::Tenant>) -> config::Config {
     let exempt = config::Route { is_auth_exempt: true, ..route("open", "h", "/open/") };
     let routes = vec![route("closed", "h", "/"), exempt];
-    let tenants = tenant::Tenants::Declared(tenants);
+    let declared = tenant::Declared { tenants, ..Default::default() };
+    let tenants = tenant::Tenants::Declared(declared);
     config::Config { tenants, ..configuration(version, routes) }
 }
 
@@ -249,3 +252,94 @@
         println!("{count} tenants: {:?} per lookup", start.elapsed() / found as u32);
     }
 }
+
+/// A configuration with any routes, services and tenants of few names, so that names are repeated.
+fn arbitrary_built(source: &mut quickcheck::Gen, version: u64) -> builder::Built {
+    let mut builder = builder::Builder::new(config::ConfigVersion(version));
+    let names = ["a", "b c", "", " d", "\u{e9}"];
+    let mut name = || *source.choose(&names).unwrap();
+    let shape: Vec<[&str; 4]> = (0..6).map(|_| [name(), name(), name(), name()]).collect();
+    let count = |source: &mut quickcheck::Gen| usize::arbitrary(source) % 5;
+    for [name, host, prefix, service] in &shape[..count(source)] {
+        let target = match u8::arbitrary(source) % 3 {
+            0 => config::Target::Service(service.parse().unwrap()),
+            1 => config::Target::Split(Vec::new()),
+            _ => config::Target::Unusable,
+        };
+        builder.route(config::Route { target, ..route(name, host, prefix) });
+    }
+    for [name, ..] in &shape[..count(source)] {
+        builder.service(declared_service(name, u32::arbitrary(source)));
+    }
+    match u8::arbitrary(source) % 4 {
+        0 => {}
+        1 => builder.unusable_tenants("expected a list"),
+        _ => {
+            builder.declare_tenants();
+            for [name, keys @ ..] in &shape[..count(source)] {
+                builder.tenant(tenant(name, u8::arbitrary(source) % 2, &keys[..2]));
+            }
+            if bool::arbitrary(source) {
+                builder.unreadable_keys();
+            }
+        }
+    }
+    builder.build()
+}
+
+fn in_order(mut config: config::Config) -> config::Config {
+    config.routes.sort_by(|a, b| a.key().cmp(&b.key()));
+    config
+}
+
+/// Guards against instances that have another configuration than the store, because they got it from an instance.
+#[test]
+fn changes_and_frames_give_the_configuration_that_was_built() {
+    let mut source = quickcheck::Gen::new(8);
+    for round in 0..3_000 {
+        let old = arbitrary_built(&mut source, 1).config;
+        let new = arbitrary_built(&mut source, 2).config;
+        let delta = config::ConfigDelta::between(&old, &new);
+        let sent = [
+            feed::Update::Config(Box::new(new.clone())),
+            feed::Update::ConfigDelta(Box::new(delta)),
+        ];
+        for update in sent {
+            let bytes = update.encode().unwrap();
+            let received: feed::Update = postcard::from_bytes(&bytes).unwrap();
+            let received = match received.decompress().unwrap() {
+                feed::Update::Config(config) => *config,
+                feed::Update::ConfigDelta(delta) => delta.apply(&old).unwrap(),
+                other => panic!("{other:?}"),
+            };
+            assert_eq!(in_order(received), in_order(new.clone()), "round {round}: {old:?}");
+        }
+    }
+}
+
+/// Guards against a key with which requests of one tenant run as those of another.
+#[test]
+fn no_key_of_any_configuration_has_two_holders() {
+    let mut source = quickcheck::Gen::new(8);
+    for _ in 0..3_000 {
+        let built = arbitrary_built(&mut source, 1);
+        assert_eq!(built.config.unusable_count as usize, built.unusable.len());
+        let tenant::Tenants::Declared(declared) = &built.config.tenants else {
+            continue;
+        };
+        let mut keys = declared.unusable_keys.keys.clone();
+        for tenant in &declared.tenants {
+            let mut own = tenant.credentials.clone();
+            own.sort();
+            own.dedup();
+            keys.extend(own);
+            assert!(tenant::header_value(&tenant.name).is_some());
+        }
+        let count = keys.len();
+        keys.sort();
+        keys.dedup();
+        assert_eq!(keys.len(), count, "{built:?}");
+        assert!(keys.iter().all(|key| !key.0.is_empty()));
+        assert!(declared.tenants.is_sorted_by(|a, b| a.name < b.name));
+    }
+}
