--- a/src/discovery/builder.rs
+++ b/src/discovery/builder.rs
@@ -9,6 +9,11 @@
 use compact_str::format_compact;
 use std::fmt;
 
+/// How many unusable parts are described. All are counted.
+const DESCRIBED_MAX: usize = 1_000;
+/// The maximum length of a description's place and of its reason; names may be as long as a configuration.
+const TEXT_MAX_BYTES: usize = 200;
+
 /// A part of a configuration that can't be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Unusable {
@@ -29,7 +34,7 @@
 pub struct Built {
     /// The configuration.
     pub config: config::Config,
-    /// The unusable parts, in the order in which they were found.
+    /// The first of the unusable parts, in the order in which they were found; [`config::Config::unusable_count`] counts all.
     pub unusable: Vec<Unusable>,
 }
 
@@ -61,7 +66,11 @@
 
     /// Notes an unusable part that nothing else depends on.
     pub fn unusable(&mut self, place: impl Into<CompactString>, reason: impl Into<CompactString>) {
-        self.unusable.push(Unusable { place: place.into(), reason: reason.into() });
+        self.config.unusable_count += 1;
+        if self.unusable.len() < DESCRIBED_MAX {
+            let (place, reason) = (shortened(place.into()), shortened(reason.into()));
+            self.unusable.push(Unusable { place, reason });
+        }
     }
 
     /// Adds a route. If its target has nowhere to send requests, they are refused.
@@ -153,7 +162,6 @@
             let declared = self.assign_keys(tenants);
             self.config.tenants = tenant::Tenants::Declared(declared);
         }
-        self.config.unusable_count = self.unusable.len() as u32;
         Built { config: self.config, unusable: self.unusable }
     }
 
@@ -233,6 +241,15 @@
     }
 }
 
+fn shortened(mut text: CompactString) -> CompactString {
+    if text.len() > TEXT_MAX_BYTES {
+        text.truncate(text.floor_char_boundary(TEXT_MAX_BYTES));
+        text.push_str("...");
+        text.shrink_to_fit();
+    }
+    text
+}
+
 /// Why requests can't be sent to a target; `None` if they can.
 fn unusable_target(target: &config::Target) -> Option<&'static str> {
     match target {
--- a/src/discovery/reader.rs
+++ b/src/discovery/reader.rs
@@ -212,19 +212,13 @@
 
     /// Offers a configuration, and logs which parts of it can't be used: how many, and the first ones.
     fn offer_config(&self, built: builder::Built, age_us: u64) {
-        let version = built.config.version;
+        let (version, count) = (built.config.version, built.config.unusable_count);
         if !self.view.offer_config(built.config, age_us) || built.unusable.is_empty() {
             return;
         }
         let named = built.unusable.iter().take(UNUSABLE_NAMED_MAX);
         let parts: Vec<String> = named.map(ToString::to_string).collect();
-        event!(
-            warn,
-            Event::PartsUnusable,
-            version = version.0,
-            count = built.unusable.len(),
-            parts = parts.join("; ")
-        );
+        event!(warn, Event::PartsUnusable, version = version.0, count, parts = parts.join("; "));
     }
 
     async fn track_config(&self) {
