Settle a process's start before the time it is subtracted from

Cause: a thread read the time, another one set the start to a later time, and the first subtracted it. Several instances in one process ask first at the same time; the program asks once before it starts other threads, so callers did not notice.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -14,6 +14,12 @@
 /// Microseconds since this process first asked for them.
 pub fn uptime_us() -> u64 {
     static START_US: sync::OnceLock<u64> = sync::OnceLock::new();
-    let now_us = now_us();
-    now_us - *START_US.get_or_init(|| now_us)
+    elapsed_us(&START_US, now_us)
+}
+
+/// Microseconds since `start_us`, which is set to the present time if nobody has set it.
+pub fn elapsed_us(start_us: &sync::OnceLock<u64>, now_us: impl Fn() -> u64) -> u64 {
+    // The start is settled first: another thread may set it to a later time than one that was read before.
+    let start_us = *start_us.get_or_init(&now_us);
+    now_us() - start_us
 }
