Name the route that instances don't use in check-config

Cause: of two routes with the same host and prefix all instances use the first by name since parts are decoded on their own; check-config still named the later one of the file.

Change: it names the one that is not used. The finding for a route of the same name is as before. Result: check_config's 5 tests pass, among them of_two_routes_with_one_match_the_one_that_is_not_used_is_named.

--- a/src/config_check/rules.rs
+++ b/src/config_check/rules.rs
@@ -27,15 +27,17 @@
         let config = self.config;
         for (index, route) in config.routes.iter().enumerate() {
             let place = format_compact!("route {}", route.name);
-            for earlier in &config.routes[..index] {
-                if earlier.name == route.name {
+            for (other_index, other) in config.routes.iter().enumerate() {
+                if other_index < index && other.name == route.name {
                     self.findings.error(place.clone(), "another route has the same name");
                 }
-                if earlier.host.eq_ignore_ascii_case(&route.host) && earlier.prefix == route.prefix
-                {
+                let is_match =
+                    other.host.eq_ignore_ascii_case(&route.host) && other.prefix == route.prefix;
+                // Instances use the first of them by name.
+                if is_match && (&other.name, other_index) < (&route.name, index) {
                     let message = format_compact!(
                         "never matches: route {} has the same host and prefix",
-                        earlier.name
+                        other.name
                     );
                     self.findings.error(place.clone(), message);
                 }
