Say which code runs and which rules are in force

Callers' requests ran without keys on the users' machines, and nothing that the program writes told an older program, another process and a configuration without tenants from each other.

--- a/src/discovery/reader.rs
+++ b/src/discovery/reader.rs
@@ -213,7 +213,9 @@
     /// Offers a configuration, and logs which parts of it can't be used: how many, and the first ones.
     fn offer_config(&self, built: builder::Built, age_us: u64) {
         let (version, count) = (built.config.version, built.config.unusable_count);
-        if !self.view.offer_config(built.config, age_us) || built.unusable.is_empty() {
+        if !self.view.offer_config(built.config, view::Origin::Store, age_us)
+            || built.unusable.is_empty()
+        {
             return;
         }
         let named = built.unusable.iter().take(UNUSABLE_NAMED_MAX);
--- a/src/discovery/subscriber.rs
+++ b/src/discovery/subscriber.rs
@@ -313,7 +313,7 @@
             feed::Update::ClientTimeouts(timeouts) => self.view.tell_client_timeouts(&timeouts),
             feed::Update::Evacuations(snapshot) => self.view.receive_evacuations(&snapshot),
             feed::Update::Config(config) => {
-                self.view.offer_config(*config, 0);
+                self.view.offer_config(*config, view::Origin::Instance(self.address), 0);
             }
             feed::Update::ConfigDelta(delta) => {
                 if delta.version <= self.view.config_version() {
@@ -322,7 +322,7 @@
                 let base = self.view.table().map(|table| table.config.clone());
                 match base.and_then(|base| delta.apply(&base)) {
                     Some(config) => {
-                        self.view.offer_config(config, 0);
+                        self.view.offer_config(config, view::Origin::Instance(self.address), 0);
                     }
                     None => return vec![feed::Request::SendConfig],
                 }
--- a/src/discovery/view.rs
+++ b/src/discovery/view.rs
@@ -12,6 +12,8 @@
 use crate::locks;
 use crate::placement::evacuation;
 use crate::tenants::enforcement;
+use std::fmt;
+use std::net;
 use std::sync;
 use std::time;
 use tokio::sync::broadcast;
@@ -64,6 +66,24 @@
     }
 }
 
+/// Where a configuration came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// The platform's store.
+    Store,
+    /// The instance with this control address.
+    Instance(net::SocketAddr),
+}
+
+impl fmt::Display for Origin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store => f.write_str("store"),
+            Self::Instance(address) => address.fmt(f),
+        }
+    }
+}
+
 /// The time since each part of the state was last known to be current, in microseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ages {
@@ -151,11 +171,12 @@
 
     /// Puts `config` in force if its version is newer than the current one. `age_us` is how long ago it was
     /// known to be the newest. Returns whether it was put in force.
-    pub fn offer_config(&self, config: config::Config, age_us: u64) -> bool {
+    pub fn offer_config(&self, config: config::Config, origin: Origin, age_us: u64) -> bool {
         let version = config.version;
         if version <= self.config_version() {
             return false;
         }
+        let keys_required = config.tenants.require_keys();
         let table = sync::Arc::new(table::RouteTable::new(sync::Arc::new(config)));
         let previous = self.table.swap(Some(table.clone()));
         event!(
@@ -165,8 +186,17 @@
             previous = previous.as_ref().map_or(0, |table| table.config.version.0),
             routes = table.config.routes.len(),
             unusable_parts = table.config.unusable_count,
+            keys_required,
+            tenants = table.config.tenants.as_slice().len(),
+            keys = table.config.tenants.key_count(),
+            origin = %origin,
             age_ms = age_us / 1_000
         );
+        if !keys_required
+            && previous.as_ref().is_some_and(|table| table.config.tenants.require_keys())
+        {
+            event!(warn, Event::KeysNoLongerRequired, version = version.0, origin = %origin);
+        }
         let previous = previous.map(|table| table.config.clone());
         let update = match &previous {
             Some(old) => feed::Update::ConfigDelta(Box::new(config::ConfigDelta::between(
--- a/src/events.rs
+++ b/src/events.rs
@@ -66,6 +66,8 @@
     PartsUnusable = 411,
     /// A configuration in the store can't be read at all.
     ConfigUnreadable = 412,
+    /// A configuration that needs no keys replaced one that needs them.
+    KeysNoLongerRequired = 413,
     /// A connection could not be accepted.
     AcceptFailed = 500,
     /// A request was answered completely and in time.
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -1,5 +1,7 @@
 //! The metrics of an instance that forwards requests.
 
+use crate::build_info;
+use crate::discovery::config;
 use crate::discovery::view;
 use crate::expected_work::metrics as expected_work;
 use crate::fair_order;
@@ -79,6 +81,9 @@
     feed_sent_bytes: Counters<FeedLabels>,
     config_version: gauge::Gauge,
     config_unusable_parts: gauge::Gauge,
+    config_keys_required: gauge::Gauge,
+    config_tenants: gauge::Gauge,
+    config_keys: gauge::Gauge,
     config_age_ms: gauge::Gauge,
     searchers_age_ms: gauge::Gauge,
     searchers: gauge::Gauge,
@@ -96,6 +101,11 @@
 impl Metrics {
     /// Creates metrics with all values at zero.
     pub fn new() -> Self {
+        Self::of_build(&build_info::BuildInfo::default())
+    }
+
+    /// Creates metrics with all values at zero, and what the program was built from.
+    pub fn of_build(build: &build_info::BuildInfo) -> Self {
         let latency: fn() -> histogram::Histogram =
             || histogram::Histogram::new(LATENCY_BOUNDS_S.iter().copied());
         let mut metrics = Self {
@@ -113,6 +123,9 @@
             members_delay: histogram::Histogram::new(LATENCY_BOUNDS_S.iter().copied()),
             config_version: gauge::Gauge::default(),
             config_unusable_parts: gauge::Gauge::default(),
+            config_keys_required: gauge::Gauge::default(),
+            config_tenants: gauge::Gauge::default(),
+            config_keys: gauge::Gauge::default(),
             config_age_ms: gauge::Gauge::default(),
             searchers_age_ms: gauge::Gauge::default(),
             searchers: gauge::Gauge::default(),
@@ -124,6 +137,7 @@
             fair_order: fair_order::metrics::Metrics::new(),
             expected_work: expected_work::Metrics::default(),
         };
+        build.register(&mut metrics.registry);
         metrics.register();
         metrics
     }
@@ -179,6 +193,17 @@
             "Parts of the configuration in force that can't be used",
             self.config_unusable_parts.clone(),
         );
+        registry.register(
+            "config_keys_required",
+            "Whether the configuration in force needs keys (1) or not (0), -1 if there is none",
+            self.config_keys_required.clone(),
+        );
+        registry.register(
+            "config_tenants",
+            "Tenants of the configuration in force",
+            self.config_tenants.clone(),
+        );
+        registry.register("config_keys", "Keys that these tenants hold", self.config_keys.clone());
         registry.register(
             "config_age_ms",
             "Time since the configuration was known to be the newest, -1 if there is none",
@@ -271,6 +296,18 @@
         self.feed_sent_bytes.get_or_create(&FeedLabels { update }).inc_by(bytes as u64);
     }
 
+    fn set_config(&self, config: Option<&config::Config>) {
+        let Some(config) = config else {
+            self.config_keys_required.set(-1);
+            return;
+        };
+        self.config_version.set(config.version.0 as i64);
+        self.config_unusable_parts.set(config.unusable_count.into());
+        self.config_keys_required.set(config.tenants.require_keys().into());
+        self.config_tenants.set(config.tenants.as_slice().len() as i64);
+        self.config_keys.set(config.tenants.key_count() as i64);
+    }
+
     /// Encodes all metrics as text; the gauges are first set from the view and the connection counts.
     ///
     /// # Errors
@@ -284,8 +321,7 @@
     ) -> Result<String, fmt::Error> {
         let ages = view.ages();
         let age_ms = |age_us: Option<u64>| age_us.map_or(-1, |us| (us / 1_000) as i64);
-        self.config_version.set(view.config_version().0 as i64);
-        self.config_unusable_parts.set(view.unusable_count().into());
+        self.set_config(view.table().as_ref().map(|table| &*table.config));
         self.config_age_ms.set(age_ms(ages.config_us));
         self.searchers_age_ms.set(age_ms(ages.searchers_us));
         self.searchers.set(view.with_registry(|registry| registry.live_count()) as i64);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admit;
 pub mod attempts;
 pub mod background_tasks;
+pub mod build_info;
 pub mod caller_api;
 pub mod check;
 pub mod choose;
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,5 +1,6 @@
 //! Runs an instance on a platform. An adapter translates the platform's store, settings and HTTP protocol.
 
+use crate::build_info;
 use crate::clock;
 use crate::discovery::members;
 use crate::discovery::pacer;
@@ -26,6 +27,7 @@
 use compact_str::CompactString;
 use error_stack::ResultExt as _;
 use std::net;
+use std::process;
 use std::sync;
 use std::time;
 use tokio::net::TcpListener;
@@ -34,6 +36,8 @@
 
 /// The settings that an instance is started with.
 pub struct Settings {
+    /// What the program was built from.
+    pub build: build_info::BuildInfo,
     /// How it describes itself to other instances.
     pub me: members::Member,
     /// The addresses that it listens on.
@@ -124,6 +128,12 @@
         Event::InstanceStarted,
         instance = %name,
         boot = settings.me.boot_ms,
+        pid = process::id(),
+        version = %settings.build.version,
+        commit = %settings.build.commit,
+        source_state = %settings.build.source_state,
+        sources = %settings.build.sources,
+        target_triple = %settings.build.target_triple,
         region = %settings.me.region,
         domain = %settings.me.domain,
         seeds = settings.seeds.len()
@@ -132,7 +142,7 @@
     if settings.bounds.evacuate.is_some() {
         view.use_evacuations();
     }
-    let metrics = sync::Arc::new(metrics::Metrics::new());
+    let metrics = sync::Arc::new(metrics::Metrics::of_build(&settings.build));
     let forwarder = run::Forwarder::new(
         view.clone(),
         dialect,
--- a/src/tenants/tenant.rs
+++ b/src/tenants/tenant.rs
@@ -101,6 +101,11 @@
         }
     }
 
+    /// The number of keys that these tenants hold.
+    pub fn key_count(&self) -> usize {
+        self.as_slice().iter().map(|tenant| tenant.credentials.len()).sum()
+    }
+
     /// Whether requests on routes that are not exempt need a key.
     pub fn require_keys(&self) -> bool {
         match self {
--- a/tests/discovery_publisher.rs
+++ b/tests/discovery_publisher.rs
@@ -22,7 +22,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let view = sync::Arc::new(view::View::new(member("source", "north", 1)));
-    view.offer_config(configuration(1, Vec::new()), 0);
+    view.offer_config(configuration(1, Vec::new()), view::Origin::Store, 0);
     view.mark_config_verified(0);
     view.apply_searchers(Vec::new(), 0);
     view.mark_searchers_verified(0);
@@ -69,7 +69,7 @@
     let storm = tokio::spawn(async move {
         for version in 2..100 {
             let routes = vec![route("r", "h.example", &format!("/v{version}/"))];
-            storm_view.offer_config(configuration(version, routes), 0);
+            storm_view.offer_config(configuration(version, routes), view::Origin::Store, 0);
             tokio::time::sleep(time::Duration::from_millis(40)).await;
         }
     });
--- a/tests/discovery_scale.rs
+++ b/tests/discovery_scale.rs
@@ -74,7 +74,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let view = sync::Arc::new(view::View::new(member("hub", "north", 1)));
-    view.offer_config(configuration(1, Vec::new()), 0);
+    view.offer_config(configuration(1, Vec::new()), view::Origin::Store, 0);
     view.mark_config_verified(0);
     view.apply_searchers(vec![record("i-leaving", searcher("s", "north-a", 1))], 0);
     view.mark_searchers_verified(0);
@@ -116,7 +116,7 @@
         route(&format!("r-{:x}", name >> 32), "h.example", &prefix)
     });
     let start = time::Instant::now();
-    view.offer_config(configuration(2, routes.collect()), 0);
+    view.offer_config(configuration(2, routes.collect()), view::Origin::Store, 0);
     let leaving = registry::SearcherChange {
         id: "i-leaving".into(),
         revision: registry::StoreRevision::new(registry::StoreEra(0), 2),
--- a/tests/forward_run.rs
+++ b/tests/forward_run.rs
@@ -92,7 +92,11 @@
 async fn start_forwarder() -> (sync::Arc<view::View>, sync::Arc<run::Forwarder>) {
     let address = start_searcher().await;
     let view = sync::Arc::new(view::View::new(member("front", "north", 1)));
-    view.offer_config(configuration(1, vec![route("claim", "h.example", "/claim/")]), 0);
+    view.offer_config(
+        configuration(1, vec![route("claim", "h.example", "/claim/")]),
+        view::Origin::Store,
+        0,
+    );
     let searcher = registry::Searcher { address, ..searcher("a", NEAR, 1) };
     view.apply_searchers(vec![record("a-0", searcher)], 0);
     let regions = vec![(NEAR.into(), "north".into())];
