Never forward keys and clients' X-Tenant-Id to searchers

Callers' keys reached searchers, with the X-Tenant-Id that the client had chosen, once a configuration without tenants was in force.

Cause: both headers were removed only if the configuration has a list of tenants. Change: they are always removed; the searcher is told the tenant of the key, if there is one.

Evidence: searchers_get_neither_keys_nor_tenants_without_a_list_of_tenants failed on the code before (i-one-0 got the tenant "forged"), and passes, as do the other ten of the file.

--- a/src/forward/header.rs
+++ b/src/forward/header.rs
@@ -10,23 +10,21 @@
     headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().into()
 }
 
-/// The client's headers that are forwarded to the searcher: all but the hop-by-hop headers and those that
-/// the instance sets itself. In a configuration with tenants the key is not forwarded, and the searcher is told the
-/// caller's tenant.
+/// The client's headers that are forwarded to the searcher: all but the hop-by-hop headers, those that the instance
+/// sets itself, and the key. The searcher is told the caller's tenant, if there is one.
 pub fn forwarded(
     headers: &http::HeaderMap,
     names: &dialect::Headers,
     caller: authentication::Caller<'_>,
 ) -> http::HeaderMap {
     let options = connection_options(headers);
-    let has_tenants = caller != authentication::Caller::Open;
     let mut forwarded = http::HeaderMap::with_capacity(headers.len() + 1);
     for (name, value) in headers {
-        let is_replaced = name == names.deadline_ms || name == names.expected_searcher;
-        if is_replaced || is_hop_by_hop(name, &options) || name == http::header::CONTENT_LENGTH {
+        let is_own = [&names.deadline_ms, &names.expected_searcher, &names.tenant].contains(&name);
+        if is_own || name == names.credential {
             continue;
         }
-        if has_tenants && (name == names.credential || name == names.tenant) {
+        if is_hop_by_hop(name, &options) || name == http::header::CONTENT_LENGTH {
             continue;
         }
         forwarded.append(name.clone(), value.clone());
