--- a/src/config_check/rules.rs
+++ b/src/config_check/rules.rs
@@ -6,6 +6,22 @@
 use compact_str::CompactString;
 use compact_str::format_compact;
 
+/// Adds what is wrong with `new` as the successor of `old`.
+pub fn check_succession(
+    old: &config::Config,
+    new: &config::Config,
+    findings: &mut findings::Findings,
+) {
+    if new.version <= old.version {
+        let message = format_compact!("not newer than {}, which is in force", old.version);
+        findings.error("version", message);
+    }
+    if old.tenants.require_keys() && !new.tenants.require_keys() {
+        let message = "the list in force is left out: requests would need no key any more";
+        findings.error("tenants", message);
+    }
+}
+
 /// Checks a configuration. `regions` are the deployment's, sorted; empty if they are not known.
 pub fn check(config: &config::Config, regions: &[CompactString]) -> findings::Findings {
     let mut check = Check { config, regions, findings: findings::Findings::default() };
@@ -149,6 +165,9 @@
 
     fn tenants(&mut self) {
         let config = self.config;
+        if !config.tenants.require_keys() {
+            self.findings.warning("tenants", "no list, so requests need no key");
+        }
         if config.tenants.require_keys() && config.routes.iter().all(|route| route.is_auth_exempt) {
             self.findings.warning("tenants", "all routes are exempt, so keys are never checked");
         }
