Name instances whose frames can't be read

Instances of two versions of the program tell each other nothing, and the log showed source_lost with "early eof" each second on one side and nothing on the other.

Change: subscriber_rejected (414), at most one a second.

--- a/src/discovery/publisher.rs
+++ b/src/discovery/publisher.rs
@@ -13,6 +13,7 @@
 use crate::forward::metrics;
 use crate::frame;
 use crate::locks;
+use crate::rate_limit;
 use crate::tenants::usage;
 use std::net;
 use std::sync;
@@ -34,6 +35,8 @@
 const WRITE_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 /// How many encoded updates are kept for other subscribers: two of each subject.
 const ENCODED_MAX: usize = 6;
+/// The most log lines per second for connections whose frames can't be read.
+const REJECTED_LOG_LINES_PER_S: u32 = 1;
 /// The maximum number of queued requests of one subscriber.
 const REQUESTS_MAX: usize = 16;
 
@@ -49,6 +52,7 @@
         metrics,
         pacer: sync::Arc::new(pacer::Pacer::new(link)),
         encoded: sync::Arc::default(),
+        rejected_log_limit: sync::Arc::new(rate_limit::RateLimit::new(REJECTED_LOG_LINES_PER_S)),
     };
     loop {
         match listener.accept().await {
@@ -69,7 +73,8 @@
     }
     let (read, write) = stream.into_split();
     let (requests, received) = mpsc::channel(REQUESTS_MAX);
-    let reading = tokio::spawn(read_requests(read, requests));
+    let log_limit = shared.rejected_log_limit.clone();
+    let reading = tokio::spawn(read_requests(read, peer, requests, log_limit));
     let updates = shared.view.subscribe();
     let mut session = Session {
         shared,
@@ -103,16 +108,28 @@
         .change_members(|members| members.remove_subscriber(&subscriber.name, subscriber.boot_ms));
 }
 
-async fn read_requests(mut read: tcp::OwnedReadHalf, requests: mpsc::Sender<feed::Request>) {
+async fn read_requests(
+    mut read: tcp::OwnedReadHalf,
+    peer: net::SocketAddr,
+    requests: mpsc::Sender<feed::Request>,
+    log_limit: sync::Arc<rate_limit::RateLimit>,
+) {
     let mut codec = feed::subscriber_codec();
     loop {
         let request = async {
             let payload = frame::read(&mut read, feed::REQUEST_MAX_BYTES).await?;
             codec.decode::<feed::Request>(&payload)
         };
-        let Ok(Ok(request)) = tokio::time::timeout(SUBSCRIBER_TIMEOUT, request).await else {
-            // Dropping `requests` ends the session.
-            return;
+        // Returning drops `requests`, which ends the session.
+        let request = match tokio::time::timeout(SUBSCRIBER_TIMEOUT, request).await {
+            Ok(Ok(request)) => request,
+            Ok(Err(frame::FrameError::Stream(_))) | Err(_) => return,
+            Ok(Err(error)) => {
+                if let Some(left_out) = log_limit.allow(clock::now_us()) {
+                    event!(warn, Event::SubscriberRejected, %peer, %error, left_out);
+                }
+                return;
+            }
         };
         if requests.send(request).await.is_err() {
             return;
@@ -237,6 +254,7 @@
     metrics: sync::Arc<metrics::Metrics>,
     pacer: sync::Arc<pacer::Pacer>,
     encoded: sync::Arc<EncodedCache>,
+    rejected_log_limit: sync::Arc<rate_limit::RateLimit>,
 }
 
 /// A connection from one subscriber. All updates but heartbeats are paced; while one waits for its slot, further
--- a/src/events.rs
+++ b/src/events.rs
@@ -68,6 +68,8 @@
     ConfigUnreadable = 412,
     /// A configuration that needs no keys replaced one that needs them.
     KeysNoLongerRequired = 413,
+    /// A connection from an instance was closed because its frames can't be read.
+    SubscriberRejected = 414,
     /// A connection could not be accepted.
     AcceptFailed = 500,
     /// A request was answered completely and in time.
