--- a/src/discovery/view.rs
+++ b/src/discovery/view.rs
@@ -144,11 +144,6 @@
         self.table.load().as_ref().map_or_else(Default::default, |table| table.config.version)
     }
 
-    /// How many parts of the configuration in force can't be used.
-    pub fn unusable_count(&self) -> u32 {
-        self.table.load().as_ref().map_or(0, |table| table.config.unusable_count)
-    }
-
     /// The configuration that preceded the one in force; most subscribers hold it.
     pub fn previous_config(&self) -> Option<sync::Arc<config::Config>> {
         locks::lock(&self.inner).previous_config.clone()
