The build compares what it wrote by content, not by time

Cause: deploy/build.sh took built files for unchanged unless they were newer than its record. File times advance in ticks of some milliseconds, so a program that is written over the built one right after the build has the record's time. Cargo compares times, too, and takes the file for its own.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -6,21 +6,22 @@
 set -eu
 cd "$(dirname "$0")/.."
 program=target/release/tarragondoor-platform
-# The digest of the sources that were built last.
-digest_file=target/release/tarragondoor-platform.sources
-digest=$(find Cargo.lock Cargo.toml platform/Cargo.toml platform/build.rs platform/src src -type f \
-  -exec sha256sum {} + | LC_ALL=C sort | sha256sum)
+# The digests of the sources of the last build here, and of what it wrote.
+record=target/release/tarragondoor-platform.built
 
-# Whether the last build here was of these sources: no other one has written files since.
-is_built() {
-  [ "$(cat "$digest_file" 2>/dev/null)" = "$digest" ] &&
-    [ -z "$(find target/release/deps -name '*tarragondoor*' -newer "$digest_file")" ]
+# Compares contents, since a file that is overwritten within a tick of the clock keeps its time.
+digest() {
+  find "$@" -type f -exec sha256sum {} + | LC_ALL=C sort | sha256sum
+}
+sources=$(digest Cargo.lock Cargo.toml platform/Cargo.toml platform/build.rs platform/src src)
+built_state() {
+  echo "$sources" "$(digest "$program" target/release/deps -name '*tarragondoor*')"
 }
 
 # Would put the program into another folder.
 unset CARGO_BUILD_TARGET
-if ! is_built; then
-  rm -f "$program" "$digest_file"
+if [ ! -f "$record" ] || [ "$(cat "$record")" != "$(built_state)" ]; then
+  rm -f "$program" "$record"
   cargo clean --release --locked --target-dir target -p tarragondoor -p tarragondoor-platform
 fi
 cargo build --release --locked --target-dir target -p tarragondoor-platform
@@ -28,4 +29,4 @@
   echo "deploy/build.sh: cargo has not written $program; does its configuration set build.target?" >&2
   exit 1
 fi
-printf '%s\n' "$digest" > "$digest_file"
+built_state > "$record"
