Answers without the request id are lost answers, whatever their status

Callers saw, wherever requests reached a server that is no searcher (an entry of other software, a reused address): its 302, 400, 404 or 500 as the answer. Clients don't repeat a request after a 400 or 404.

Cause: read_answer asked for the request id in successes only, though all searchers state it. The balancer counted such refusals as quick answers.

Now such an answer is a lost one. The new test an_answer_without_the_id_of_the_request_is_a_lost_answer showed 302, 400, 404 and 500 of another server passed on before, and 502 for all of them after; a searcher's own are passed on as before.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -340,8 +340,12 @@
     }
     let stamp = head.headers.get(&headers.stamp).cloned();
     let is_encoded = head.headers.contains_key(http::header::CONTENT_ENCODING);
-    if head.status.is_success() && (stamp.is_none() || is_encoded || echoed.is_none()) {
-        return Err(SendResult::lost("the answer has no stamp or request id, or is encoded"));
+    if echoed.is_none() {
+        // All searchers state it: another server listens at the address.
+        return Err(SendResult::lost("the answer has no request id"));
+    }
+    if head.status.is_success() && (stamp.is_none() || is_encoded) {
+        return Err(SendResult::lost("the answer has no stamp, or is encoded"));
     }
     let latency_us = clock::now_us().saturating_sub(sent_us);
     let report = match head.status.is_server_error() {
