Each instance tries each searcher of its region once

Cause: what a searcher in use is expected to take falls below the route's median if it answers faster, and that of an unused one returns to the median. The first choice stays until it is busy.

Once an instance has known an unused searcher of its region for 3 s, half of its cost counts for one in as many requests as the region has active instances, so that they don't all turn to a searcher that has just started.

--- a/src/forward/balancer.rs
+++ b/src/forward/balancer.rs
@@ -5,6 +5,8 @@
 //! delay, and penalties for failures and for missing answers. Observations decay exponentially, so a searcher
 //! that was slow or failing is tried again.
 //!
+//! An instance that has never used a searcher of its region tries it once, since others may always seem cheaper.
+//!
 //! With [`routing::Routing::ExpectedWork`], the round trip, the processing time and the queueing delay are those of
 //! [`backlog`] in place of the above; penalties, backoff and limits are the same.
 
@@ -61,6 +63,10 @@
 const INITIAL_SLOWNESS: f64 = 1.3;
 /// The random share added to costs, so that equally good searchers are selected evenly.
 const JITTER: f64 = 0.08;
+/// How long a searcher is known before it may be selected for a trial. It is slow when it has just started.
+const TRIAL_AFTER_US: u64 = 3_000_000;
+/// The share of its cost that counts when a searcher is selected for a trial.
+const TRIAL_COST_SHARE: f64 = 0.5;
 /// The share of a searcher's connections reserved for the active instances of its own region.
 const SAME_REGION_CONNECTIONS_SHARE: f64 = 0.45;
 /// The share of a searcher's connections reserved for the active instances of other regions. The rest is left
@@ -190,6 +196,17 @@
     backlog: backlog::Backlog,
 }
 
+impl Entry {
+    /// Whether this instance has known the searcher for a while and never sent a request to it.
+    fn is_untried(&self, now_us: u64) -> bool {
+        let is_unused = self.stats.next_send_id == 0;
+        let known_us = now_us.saturating_sub(self.stats.last_send_us);
+        is_unused
+            && known_us >= TRIAL_AFTER_US
+            && self.endpoint.distance != endpoint::Distance::OtherRegion
+    }
+}
+
 /// How a searcher is limited while it is cold.
 #[derive(Clone, Copy, Debug)]
 struct ColdLimit {
@@ -254,13 +271,21 @@
     routing: routing::Routing,
     /// Used only with [`routing::Routing::ExpectedWork`].
     costs: cost::Model,
-    jitter: Jitter,
+    /// The source of the random part of costs.
+    jitter: Random,
+    /// Decides which requests may be trials.
+    trials: Random,
 }
 
-/// The source of the random part of costs.
-struct Jitter(cell::RefCell<rngs::SmallRng>);
+struct Random(cell::RefCell<rngs::SmallRng>);
 
-impl Default for Jitter {
+impl Random {
+    fn from_seed(seed: u64) -> Self {
+        Self(cell::RefCell::new(rngs::SmallRng::seed_from_u64(seed)))
+    }
+}
+
+impl Default for Random {
     fn default() -> Self {
         Self(cell::RefCell::new(rand::make_rng()))
     }
@@ -300,7 +325,8 @@
 
     /// Makes the random part of the selection depend on `seed` alone.
     pub fn set_seed(&mut self, seed: u64) {
-        self.jitter = Jitter(cell::RefCell::new(rngs::SmallRng::seed_from_u64(seed)));
+        self.jitter = Random::from_seed(seed);
+        self.trials = Random::from_seed(!seed);
     }
 
     /// Returns the expected work of a request, or `median_processing_us`, the median processing time of its route, if
@@ -484,6 +510,7 @@
             self.entries.partition_point(|entry| entry.endpoint.searcher.service < *service);
         let mut best: Option<(bool, f64, usize, u64)> = None;
         let mut jitter = self.jitter.0.borrow_mut();
+        let may_try = tried.is_empty() && self.may_try();
         for (index, entry) in self.entries.iter().enumerate().skip(start) {
             if entry.endpoint.searcher.service != *service {
                 break;
@@ -511,8 +538,11 @@
                 endpoint::Distance::OtherRegion => profile.cross_region_penalty_us as f64,
                 _ => 0.0,
             };
-            let cost =
-                (expected_us + cross_region_penalty_us) * (1.0 + JITTER * jitter.random::<f64>());
+            let cost_share =
+                if may_try && entry.is_untried(now_us) { TRIAL_COST_SHARE } else { 1.0 };
+            let cost = (expected_us + cross_region_penalty_us)
+                * (1.0 + JITTER * jitter.random::<f64>())
+                * cost_share;
             let is_better = match best {
                 None => true,
                 Some((best_backed_off, best_cost, _, _)) => {
@@ -697,6 +727,12 @@
         from_us.max(bucket.allows_from_us(now_us, rate, priority))
     }
 
+    /// Whether the next request may be a trial of a searcher: on average, one of as many requests as there are active
+    /// instances in the region, which would all try a new searcher at once.
+    fn may_try(&self) -> bool {
+        self.trials.0.borrow_mut().random_ratio(1, self.instance_counts.active_in_region.max(1))
+    }
+
     /// Returns this instance's part of the limit that a searcher has named; `None` if it has named none.
     fn limit_part(&self, entry: &Entry) -> Option<limit::RequestRate> {
         let limit = entry.endpoint.limit()?;
